Add the request path between daemons

Cause: a caller's request has to reach the daemon beside the backend server and its response has to come back complete. Conclusion: the parts can be wired into the daemon.

--- /dev/null
+++ b/src/proxy/entry_handler.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "proxy/entry_request.h"
+#include "proxy/fleet_view.h"
+#include "proxy/forwarder.h"
+#include "proxy/http_answer_sink.h"
+#include "proxy/snapshot_cell.h"
+#include "proxy/work_gate.h"
+
+#include <Poco/Net/HTTPRequestHandler.h>
+
+namespace galenaroad {
+
+/// Parts of the daemon that handle callers' requests. All outlive the handler.
+struct entry_context {
+    const clock& time;
+    const snapshot_cell<fleet_view>& view;
+    work_gate& gate;
+    id_source& ids;
+    forwarder& forward;
+};
+
+/// Handles one request of a caller.
+class entry_handler : public Poco::Net::HTTPRequestHandler {
+public:
+    /// @param parts what handles the request.
+    explicit entry_handler(const entry_context& parts);
+
+    void handleRequest(Poco::Net::HTTPServerRequest& request,
+                       Poco::Net::HTTPServerResponse& response) override;
+
+private:
+    using exchange_result = attempt_result;
+
+    exchange_result handle(Poco::Net::HTTPServerRequest& request, http_answer_sink& sink,
+                           server_connection& connection);
+    exchange_result route(entry_request& request, const call_context::header_lookup& header,
+                          http_answer_sink& sink, server_connection& connection);
+    exchange_result forward(forward_order& order, http_answer_sink& sink,
+                            server_connection& connection);
+
+    const entry_context& m_parts;
+    std::string m_request_id;
+    bool m_body_consumed = false;
+};
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/proxy/forwarder.cpp
@@ -0,0 +1,211 @@
+#include "proxy/forwarder.h"
+
+#include "routing/upstream_selector.h"
+
+#include <grpcpp/client_context.h>
+
+namespace galenaroad {
+
+/// State of a request across its attempts.
+struct forwarder::progress {
+    random_engine random;
+    std::vector<upstream_id> tried;
+    int attempts = 0;
+    bool retry_granted = false;
+
+    std::string attempt_id(const entry_request& request) const
+    {
+        return request.id + "-" + std::to_string(attempts);
+    }
+};
+
+namespace {
+
+// Time for the owner to answer a fence; it holds the answer in memory.
+constexpr auto fence_timeout = std::chrono::milliseconds(250);
+
+service_id service_of(const forward_order& order)
+{
+    return {std::string(order.route.business), order.route.declared->service};
+}
+
+bool is_idempotent(const forward_order& order)
+{
+    const auto& method = order.request.method;
+    const bool is_idempotent_method = method == "GET" || method == "HEAD" || method == "OPTIONS" ||
+                                      method == "PUT" || method == "DELETE";
+    const auto& route = *order.route.declared;
+    return is_idempotent_method && !route.once && route.work != request_class::action;
+}
+
+bool is_server_failure(int status)
+{
+    return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+} // namespace
+
+forwarder::forwarder(entry_parts parts) : m_parts(std::move(parts)) {}
+
+attempt_result forwarder::forward(forward_order& order, replayable_body& body, answer_sink& sink)
+{
+    progress state{random_engine(m_parts.ids.seed()), {}, 0, false};
+    m_parts.budgets.note_request(service_of(order));
+    attempt_result outcome;
+    do {
+        const auto* const target = select(order, state);
+        if (target == nullptr) {
+            return state.attempts > 0 ? outcome
+                                      : attempt_result::failed(error_kind::service_unavailable, "");
+        }
+        state.retry_granted = false;
+        body.rewind();
+        outcome = attempt(order, *target, body, sink, state);
+        state.tried.push_back(target->id);
+    } while (!outcome.ok() && may_retry(order, outcome, body, state));
+    return outcome;
+}
+
+const upstream_candidate* forwarder::select(const forward_order& order, progress& state) const
+{
+    const auto* const candidates = order.view->routing->candidates(service_of(order));
+    if (candidates == nullptr) {
+        return nullptr;
+    }
+    return upstream_selector().select(*candidates, state.tried, m_parts.time.steady_now(),
+                                      state.random);
+}
+
+attempt_result forwarder::attempt(forward_order& order, const upstream_candidate& target,
+                                  replayable_body& body, answer_sink& sink, progress& state)
+{
+    ++state.attempts;
+    const auto started = m_parts.time.steady_now();
+    if (started >= order.context.deadline) {
+        return attempt_result::failed(error_kind::deadline_exceeded_before_run, "");
+    }
+    const auto client = m_parts.clients.client(target.peer_address);
+    forward_attempt call(client, m_parts.guard, m_parts.time);
+    const auto accepts = [&](int status) {
+        if (!is_server_failure(status) || !is_idempotent(order)) {
+            return true;
+        }
+        auto failed = attempt_result::failed(error_kind::upstream_failed, "");
+        state.retry_granted = may_retry(order, failed, body, state);
+        return !state.retry_granted;
+    };
+    target.load->request_started();
+    const auto outcome =
+        call.run(head_of(order, target, state), body, sink, times_of(order, body, state), accepts);
+    target.load->request_finished();
+    note_end(order, target, outcome, started);
+    const bool is_silent =
+        call.is_head_late() || outcome.result.kind == error_kind::peer_unreachable;
+    if (is_silent) {
+        m_parts.clients.discard(client);
+    }
+    if (outcome.result.run == run_state::unknown && !outcome.result.answer_started &&
+        !is_idempotent(order)) {
+        return settle_by_fence(order, target, state.attempt_id(order.request), outcome.result);
+    }
+    return outcome.result;
+}
+
+// Only the owner that was asked to start the attempt can tell that it never will.
+attempt_result forwarder::settle_by_fence(const forward_order& order,
+                                          const upstream_candidate& target,
+                                          const std::string& attempt_id, attempt_result outcome)
+{
+    const auto left = order.context.remaining(m_parts.time.steady_now());
+    if (left.count() == 0) {
+        return outcome;
+    }
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + std::min(left, fence_timeout));
+    peer::FenceRequest request;
+    request.set_attempt_id(attempt_id);
+    request.set_owner_incarnation(target.owner_incarnation);
+    peer::FenceResponse response;
+    const auto client = m_parts.clients.client(target.peer_address);
+    const auto status = client->stub->FenceAttempt(&context, request, &response);
+    if (status.ok() && response.state() == peer::FenceResponse::NOT_RUN) {
+        auto proved = attempt_result::failed(error_kind::peer_unreachable, outcome.detail);
+        proved.run = run_state::not_run;
+        return proved;
+    }
+    return outcome;
+}
+
+bool forwarder::may_retry(forward_order& order, const attempt_result& outcome,
+                          const replayable_body& body, progress& state)
+{
+    if (state.retry_granted) {
+        return true;
+    }
+    failed_attempt failed;
+    failed.kind = outcome.kind;
+    failed.run = outcome.run;
+    failed.attempts = state.attempts;
+    failed.idempotent = is_idempotent(order);
+    failed.replayable = body.is_replayable();
+    failed.answer_started = outcome.answer_started;
+    return !outcome.sink_gone && m_parts.budgets.may_retry(service_of(order), failed, order.context,
+                                                           m_parts.time.steady_now());
+}
+
+peer::RequestHead forwarder::head_of(const forward_order& order, const upstream_candidate& target,
+                                     const progress& state) const
+{
+    const auto& request = order.request;
+    const auto& route = *order.route.declared;
+    peer::RequestHead head;
+    head.set_request_id(request.id);
+    head.set_attempt_id(state.attempt_id(request));
+    head.set_business(std::string(order.route.business));
+    head.set_service(route.service);
+    head.set_upstream(target.id.name);
+    head.set_method(request.method);
+    head.set_target(request.target);
+    head.set_depth(static_cast<std::uint32_t>(order.context.depth));
+    head.set_retry_budget(static_cast<std::uint32_t>(order.context.retries_left));
+    head.set_traceparent(request.traceparent);
+    head.set_configuration_version(order.view->contract_version(head.business()));
+    head.set_owner_incarnation(target.owner_incarnation);
+    head.set_work_class(static_cast<std::uint32_t>(route.work));
+    head.set_once(route.once);
+    head.set_content_length(request.content_length);
+    head.set_caller(request.caller);
+    head.set_idempotency_key(request.idempotency_key);
+    for (const auto& field : request.headers) {
+        auto& added = *head.add_headers();
+        added.set_name(field.name);
+        added.set_value(field.value);
+    }
+    return head;
+}
+
+attempt_times forwarder::times_of(const forward_order& order, const replayable_body& body,
+                                  const progress& state) const
+{
+    const auto now = m_parts.time.steady_now();
+    // An action that takes long is not cancelled early: it would end with an unknown outcome.
+    const bool retry_possible =
+        is_idempotent(order) && body.is_replayable() && state.attempts < retry_policy::max_attempts;
+    const auto timeout = retry_policy::attempt_timeout(order.context, retry_possible, now);
+    return {now + timeout, order.context.deadline};
+}
+
+void forwarder::note_end(const forward_order& order, const upstream_candidate& target,
+                         const forward_outcome& outcome, steady_time started)
+{
+    const auto now = m_parts.time.steady_now();
+    if (outcome.result.ok()) {
+        target.load->report(static_cast<int>(outcome.trailer.slots_in_use()),
+                            static_cast<int>(outcome.trailer.queued()), now);
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - started);
+    m_parts.observe(
+        {service_of(order), target.id, order.route.declared->work, outcome.result, elapsed});
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/proxy/header_rules.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "proxy/header_field.h"
+
+#include <Poco/Net/MessageHeader.h>
+#include <string_view>
+
+namespace galenaroad {
+
+/// Rules for the header fields that pass a hop.
+class header_rules {
+public:
+    /// Collects the fields that pass to the next hop: without hop-by-hop fields, those that
+    /// `Connection` names, the body's framing, and fields that each hop sets itself.
+    /// @param message the received head.
+    /// @return the fields in their order.
+    static header_list passed_on(const Poco::Net::MessageHeader& message);
+
+    /// @param name a field name.
+    /// @return true when it is a token of RFC 9110.
+    static bool is_valid_name(std::string_view name);
+
+    /// @param value a field value.
+    /// @return true when it holds no control character except the tab.
+    static bool is_valid_value(std::string_view value);
+
+    /// Compares field names without regard to case.
+    static bool same_name(std::string_view a, std::string_view b);
+
+    /// Finds a field in a list.
+    /// @param fields the list.
+    /// @param name the field's name.
+    /// @return the first such field, or null.
+    static const header_field* find(const header_list& fields, std::string_view name);
+};
+
+} // namespace galenaroad
