--- a/src/platform/object_store.h
+++ b/src/platform/object_store.h
@@ -19,7 +19,8 @@
     /// Reads an object.
     /// @param bucket the bucket's name.
     /// @param key the object's key.
-    /// @return its bytes, or `store_unavailable`.
+    /// @return its bytes; `std::errc::no_such_file_or_directory` when there is no such object; or
+    /// `store_unavailable`.
     virtual result<std::string> read(const std::string& bucket, const std::string& key) = 0;
 
     /// Writes an object, replacing one with the same key.
