--- /dev/null
+++ b/src/health/evaluator_selection.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "model/upstream.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// Selects the daemon that evaluates a service, by rendezvous hashing.
+///
+/// Daemons with different views of the members may select different evaluators; the compare-and-set
+/// on the service's row makes two evaluators at once safe.
+/// @param service the service.
+/// @param owners names of the live instances that own upstreams of the service.
+/// @return the name of the selected instance; empty when there are none.
+std::optional<std::string> evaluator_of(const service_id& service,
+                                        const std::vector<std::string>& owners);
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/health/hold_timer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <chrono>
+
+namespace galenaroad {
+
+/// Phase of an upstream's return to service.
+enum class hold_phase {
+    cold,    ///< Recently announced: its share grows and its attempts are no evidence.
+    serving, ///< Full share.
+    held,    ///< Set aside after a sick verdict.
+    trial,   ///< The hold has ended: receives trial traffic only.
+    ramping, ///< The trial passed: its share grows.
+};
+
+/// Keeps a flapping upstream set aside for longer each time, and lets it return slowly.
+class hold_timer {
+public:
+    static constexpr std::chrono::seconds first_hold{10};
+    static constexpr std::chrono::seconds longest_hold{300};
+    static constexpr std::chrono::seconds trial_time{3};
+    static constexpr std::chrono::seconds ramp_time{10};
+    static constexpr std::chrono::seconds cold_start{30};
+    /// The hold time returns to its first value after this time without a sick verdict.
+    static constexpr std::chrono::seconds forgiveness{300};
+    static constexpr double held_preference = 0.01;
+    static constexpr double trial_preference = 0.05;
+
+    /// Notes that the upstream was announced.
+    /// @param now the current time.
+    void announced(steady_time now);
+
+    /// Notes a sick verdict. Within a hold it has no further effect.
+    /// @param now the current time.
+    void sick(steady_time now);
+
+    /// @param now the current time.
+    /// @return the phase.
+    hold_phase phase(steady_time now) const;
+
+    /// @param now the current time.
+    /// @return the preference weight of the phase, above 0 and at most 1.
+    double preference(steady_time now) const;
+
+    /// @return the length of the current or latest hold; zero before the first.
+    std::chrono::seconds hold() const { return m_hold; }
+
+private:
+    steady_time m_announced{};
+    steady_time m_held_until{};
+    std::chrono::seconds m_hold{0};
+    bool m_was_announced = false;
+};
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/health/observation.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/clock.h"
+#include "model/contract.h"
+
+#include <chrono>
+
+namespace galenaroad {
+
+/// How an attempt at an upstream ended, as far as the upstream's health is concerned.
+enum class attempt_outcome {
+    success,
+    failure, ///< A server error, an incomplete response or a time-out that is not link state.
+    shed,    ///< The upstream refused for overload. No evidence of an unhealthy upstream.
+};
+
+/// One attempt at an upstream. Callers subtract the link by passing the reported service time.
+struct observation {
+    request_class work = request_class::read;
+    attempt_outcome outcome = attempt_outcome::success;
+    steady_time started;
+    std::chrono::nanoseconds service_time{0}; ///< For transfers the time to the first byte.
+};
+
+/// An attempt that has not ended yet. Its age is a lower bound of its service time.
+struct open_attempt {
+    request_class work = request_class::read;
+    steady_time started;
+};
+
+} // namespace galenaroad
