Add gray failure detection and the ejection ledger

Cause: gray upstreams answer some work and fail or delay the rest; many daemons decide on their ejection at the same time.

Ruled out: an accumulated test against a lagging reference, since a service that gets slow as a whole would make every upstream an outlier; a test on completed attempts alone, since a stalled upstream with three slots completes none; passing on the age of another daemon's grant, since it is not known.

--- /dev/null
+++ b/src/health/ejection_ledger.cpp
@@ -0,0 +1,285 @@
+#include "health/ejection_ledger.h"
+
+#include "base/error_kind.h"
+
+#include <algorithm>
+
+namespace galenaroad {
+
+namespace {
+
+std::chrono::milliseconds time_left(steady_time end, steady_time now)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - now);
+    return std::max(left, std::chrono::milliseconds(0));
+}
+
+bool is(const std::error_code& code, error_kind kind)
+{
+    return code == make_error_code(kind);
+}
+
+tl::unexpected<std::error_code> failed(error_kind kind)
+{
+    return tl::unexpected(make_error_code(kind));
+}
+
+void set_entry(ejection_row& row, ejection_entry entry)
+{
+    if (ejection_entry* present = row.find(entry.upstream)) {
+        *present = std::move(entry);
+        return;
+    }
+    row.entries.push_back(std::move(entry));
+}
+
+void renew_entry(ejection_entry& entry, const std::string& write)
+{
+    entry.grant = write;
+    entry.remaining = ejection_row::validity;
+    entry.counted = ejection_row::validity + ejection_row::grace;
+}
+
+} // namespace
+
+ejection_ledger::ejection_ledger(table_service& store, const clock& time, std::string writer)
+    : m_store(store), m_clock(time), m_writer(std::move(writer))
+{
+}
+
+result<aged_row> ejection_ledger::propose(const service_capacity& capacity,
+                                          const upstream_id& upstream, const std::string& reason)
+{
+    return change(
+        capacity.service, [&](ejection_row& row, const std::string& write) -> result<bool> {
+            if (!row.allows(capacity, upstream)) {
+                return failed(error_kind::floor_would_be_breached);
+            }
+            const ejection_entry* present = row.find(upstream);
+            if (present != nullptr && present->kind == removal_kind::drained) {
+                return false;
+            }
+            set_entry(row, granted(*capacity.find(upstream), removal_kind::ejected, reason, write));
+            return true;
+        });
+}
+
+result<aged_row> ejection_ledger::renew(const service_capacity& capacity,
+                                        const std::vector<upstream_id>& upstreams)
+{
+    const auto is_renewed = [&](const ejection_entry& entry) {
+        return entry.kind == removal_kind::drained ||
+               (entry.kind == removal_kind::ejected &&
+                std::find(upstreams.begin(), upstreams.end(), entry.upstream) != upstreams.end());
+    };
+    return change(capacity.service,
+                  [&](ejection_row& row, const std::string& write) -> result<bool> {
+                      if (row.slots_in_service(capacity) < capacity.floor_slots) {
+                          return failed(error_kind::floor_would_be_breached);
+                      }
+                      bool changed = false;
+                      for (ejection_entry& entry : row.entries) {
+                          if (is_renewed(entry)) {
+                              renew_entry(entry, write);
+                              changed = true;
+                          }
+                      }
+                      return changed;
+                  });
+}
+
+result<aged_row> ejection_ledger::release(const service_id& service, const upstream_id& upstream)
+{
+    return change(service, [&](ejection_row& row, const std::string&) -> result<bool> {
+        ejection_entry* entry = row.find(upstream);
+        if (entry == nullptr || entry->kind == removal_kind::released) {
+            return false;
+        }
+        entry->kind = removal_kind::released;
+        entry->remaining = std::chrono::milliseconds(0);
+        return true;
+    });
+}
+
+result<aged_row> ejection_ledger::drain(const service_capacity& capacity,
+                                        const upstream_id& upstream, const std::string& reason)
+{
+    return change(
+        capacity.service, [&](ejection_row& row, const std::string& write) -> result<bool> {
+            if (!row.allows(capacity, upstream)) {
+                return failed(error_kind::floor_would_be_breached);
+            }
+            set_entry(row, granted(*capacity.find(upstream), removal_kind::drained, reason, write));
+            return true;
+        });
+}
+
+result<aged_row> ejection_ledger::refresh(const service_id& service)
+{
+    const auto known = read(service, {}, m_clock.steady_now());
+    if (!known) {
+        return tl::unexpected(known.error());
+    }
+    return aged(**known);
+}
+
+// Every attempt reads the row first: a write is always based on what the store holds.
+result<aged_row> ejection_ledger::change(const service_id& service, const edit& apply)
+{
+    for (int attempt = 0; attempt < write_attempts; ++attempt) {
+        const auto known = read(service, {}, m_clock.steady_now());
+        if (!known) {
+            return tl::unexpected(known.error());
+        }
+        const std::string tag = (*known)->tag;
+        const std::string write = m_writer + '#' + std::to_string(++m_serial);
+        ejection_row next = present_row(**known);
+        next.sequence += 1;
+        next.write = write;
+        const auto changed = apply(next, write);
+        if (!changed) {
+            return tl::unexpected(changed.error());
+        }
+        if (!*changed) {
+            return aged(**known);
+        }
+        const steady_time began = m_clock.steady_now();
+        const auto put_tag = put(service, next, tag);
+        if (put_tag) {
+            return aged(adopt(std::move(next), *put_tag, write, began));
+        }
+        if (is(put_tag.error(), error_kind::version_conflict)) {
+            continue;
+        }
+        if (!is(put_tag.error(), error_kind::outcome_unknown)) {
+            return tl::unexpected(put_tag.error());
+        }
+        const auto applied = settle(service, write, began);
+        if (!applied) {
+            return tl::unexpected(applied.error());
+        }
+        if (*applied) {
+            return aged(m_rows.at(service));
+        }
+    }
+    return failed(error_kind::version_conflict);
+}
+
+result<std::string> ejection_ledger::put(const service_id& service, const ejection_row& next,
+                                         const std::string& tag)
+{
+    ++m_writes;
+    const std::string key = ejection_row::key(service);
+    if (tag.empty()) {
+        return m_store.insert(table_name, key, next.text());
+    }
+    return m_store.update(table_name, key, next.text(), tag);
+}
+
+// After a lost response: the write took effect if the row, or an entry that a later writer kept,
+// carries its identity. A write that is still on its way is bound to the old tag; if it lands
+// later, its entries are in the row for every writer to count.
+result<bool> ejection_ledger::settle(const service_id& service, const std::string& write,
+                                     steady_time began)
+{
+    const auto known = read(service, write, began);
+    if (!known) {
+        return failed(error_kind::outcome_unknown);
+    }
+    const ejection_row& row = (*known)->row;
+    return row.write == write ||
+           std::any_of(row.entries.begin(), row.entries.end(),
+                       [&](const ejection_entry& entry) { return entry.grant == write; });
+}
+
+result<ejection_ledger::known_row*>
+ejection_ledger::read(const service_id& service, const std::string& own_write, steady_time began)
+{
+    const auto read_row = m_store.read(table_name, ejection_row::key(service));
+    if (!read_row) {
+        return tl::unexpected(read_row.error());
+    }
+    if (read_row->tag.empty()) {
+        ejection_row none;
+        none.service = service;
+        return &adopt(std::move(none), {}, own_write, began);
+    }
+    auto row = ejection_row::parse(read_row->value);
+    if (!row) {
+        return tl::unexpected(row.error());
+    }
+    return &adopt(std::move(*row), read_row->tag, own_write, began);
+}
+
+// A grant of this daemon ends by the start of its write. Another daemon's grant has an unknown
+// age: it is counted in full from when it was first seen, and not honoured because of this read.
+ejection_ledger::known_row& ejection_ledger::adopt(ejection_row row, std::string tag,
+                                                   const std::string& own_write, steady_time began)
+{
+    known_row& known = m_rows[row.service];
+    const steady_time now = m_clock.steady_now();
+    std::map<std::string, known_grant> grants;
+    for (const ejection_entry& entry : row.entries) {
+        const std::string name =
+            entry.upstream.instance + '/' + entry.upstream.name + '/' + entry.grant;
+        const auto seen = known.grants.find(name);
+        if (seen != known.grants.end()) {
+            grants.insert(*seen);
+        }
+        else if (!own_write.empty() && entry.grant == own_write) {
+            grants[name] = {began + ejection_row::validity,
+                            began + ejection_row::validity + ejection_row::grace};
+        }
+        else {
+            grants[name] = {now, now + entry.counted};
+        }
+    }
+    known.row = std::move(row);
+    known.tag = std::move(tag);
+    known.grants = std::move(grants);
+    return known;
+}
+
+// The row with its times as of now, without the ejections that no daemon honours any more.
+ejection_row ejection_ledger::present_row(const known_row& known) const
+{
+    const steady_time now = m_clock.steady_now();
+    ejection_row present = known.row;
+    present.entries.clear();
+    for (ejection_entry entry : known.row.entries) {
+        const known_grant& grant = known.grants.at(entry.upstream.instance + '/' +
+                                                   entry.upstream.name + '/' + entry.grant);
+        const bool is_drain = entry.kind == removal_kind::drained;
+        if (grant.counted_until <= now && !is_drain) {
+            continue;
+        }
+        const bool is_released = entry.kind == removal_kind::released;
+        entry.remaining =
+            is_released ? std::chrono::milliseconds(0) : time_left(grant.honoured_until, now);
+        entry.counted = is_drain ? ejection_row::validity + ejection_row::grace
+                                 : time_left(grant.counted_until, now);
+        present.entries.push_back(std::move(entry));
+    }
+    return present;
+}
+
+// Passes the times on as of now, so that the row's age is zero for its receivers.
+aged_row ejection_ledger::aged(const known_row& known) const
+{
+    return {present_row(known), std::chrono::milliseconds(0)};
+}
+
+ejection_entry ejection_ledger::granted(const capacity_member& member, removal_kind kind,
+                                        const std::string& reason, const std::string& write) const
+{
+    ejection_entry entry;
+    entry.upstream = member.upstream;
+    entry.incarnation = member.incarnation;
+    entry.slots = member.slots;
+    entry.kind = kind;
+    entry.reason = reason;
+    renew_entry(entry, write);
+    return entry;
+}
+
+} // namespace galenaroad
--- a/src/health/ejection_ledger.h
+++ b/src/health/ejection_ledger.h
@@ -6,16 +6,15 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace galenaroad {
 
-/// A row as a daemon knows it, with the age that it has reached.
+/// A row with the time since it was written, as far as its sender knows.
 struct aged_row {
     ejection_row row;
-    std::chrono::milliseconds age{0}; ///< Time since the row was written, at least.
+    std::chrono::milliseconds age{0};
 };
 
 /// Writes ejections and drains to the table service and keeps the capacity floor.
@@ -43,7 +42,8 @@
     result<aged_row> propose(const service_capacity& capacity, const upstream_id& upstream,
                              const std::string& reason);
 
-    /// Renews several ejections with one write. Entries that no longer exist are not added again.
+    /// Renews several ejections, and all drains, with one write. Entries that no longer exist are
+    /// not added again. Nothing is renewed while the service is below its floor.
     /// @param capacity the live members and the floor of the service.
     /// @param upstreams the upstreams that are still unhealthy.
     /// @return the row in force, or an error as for propose().
@@ -73,28 +73,32 @@
     std::uint64_t writes() const { return m_writes; }
 
 private:
-    struct known_entry {
-        steady_time seen; ///< When this daemon first saw the grant.
-        std::chrono::milliseconds remaining{0};
+    /// What this daemon knows of a grant, on its own clock.
+    struct known_grant {
+        steady_time honoured_until; ///< In the past for grants of unknown age.
+        steady_time counted_until;
     };
     struct known_row {
         ejection_row row;
-        std::string tag;     ///< Empty when the row does not exist.
-        steady_time written; ///< Latest time at which the row can have been written.
-        std::map<std::string, known_entry> entries; ///< By upstream and grant.
+        std::string tag; ///< Empty when the row does not exist.
+        std::map<std::string, known_grant> grants;
     };
-    /// Edits a row; returns an error to give up, or false when nothing has to change.
-    using edit = std::function<result<bool>(ejection_row&, const std::string& write)>;
+    /// Changes a row, using the given write identity for what it grants. Returns whether the row
+    /// has to be written, or an error to give up.
+    using edit = std::function<result<bool>(ejection_row& row, const std::string& write)>;
 
     result<aged_row> change(const service_id& service, const edit& apply);
-    result<aged_row> write(const service_id& service, ejection_row next, const std::string& tag,
-                           steady_time began);
-    result<aged_row> settle(const service_id& service, const std::string& write, steady_time began);
-    result<known_row*> read(const service_id& service);
-    known_row& adopt(const service_id& service, ejection_row row, std::string tag,
-                     steady_time written);
-    void age_entries(known_row& known) const;
+    result<std::string> put(const service_id& service, const ejection_row& next,
+                            const std::string& tag);
+    result<bool> settle(const service_id& service, const std::string& write, steady_time began);
+    result<known_row*> read(const service_id& service, const std::string& own_write,
+                            steady_time began);
+    known_row& adopt(ejection_row row, std::string tag, const std::string& own_write,
+                     steady_time began);
+    ejection_row present_row(const known_row& known) const;
     aged_row aged(const known_row& known) const;
+    ejection_entry granted(const capacity_member& member, removal_kind kind,
+                           const std::string& reason, const std::string& write) const;
 
     table_service& m_store;
     const clock& m_clock;
--- a/src/health/ejection_row.h
+++ b/src/health/ejection_row.h
@@ -14,7 +14,8 @@
 enum class removal_kind {
     ejected,  ///< Unhealthy. The entry expires unless it is renewed.
     drained,  ///< By an operator. The entry stays until it is released.
-    released, ///< Returned early. Counted until the entry's remaining time has passed.
+    released, ///< Returned early. No longer honoured, but counted until daemons that missed the
+              ///< release no longer honour the grant either.
 };
 
 /// Entry of a service's row: an upstream that is out of service.
@@ -24,8 +25,12 @@
     int slots = 0;
     removal_kind kind = removal_kind::ejected;
     std::string reason;
-    std::string grant;                      ///< Identity of the write that granted or renewed it.
-    std::chrono::milliseconds remaining{0}; ///< Validity left when the row was written.
+    std::string grant; ///< Identity of the write that granted or renewed it.
+    /// Validity left when the row was written, for daemons that honour the entry. Zero when the
+    /// row's writer does not know the age of the grant.
+    std::chrono::milliseconds remaining{0};
+    /// Time for which writers count the entry as effective, from when the row was written.
+    std::chrono::milliseconds counted{0};
 };
 
 /// An upstream that could serve, as the proposing daemon's membership knows it.
@@ -40,6 +45,10 @@
     service_id service;
     int floor_slots = 0;
     std::vector<capacity_member> members;
+
+    /// @param upstream the upstream.
+    /// @return the member, or null.
+    const capacity_member* find(const upstream_id& upstream) const;
 };
 
 /// Row `ejections/<business>/<service>` with its floor arithmetic.
@@ -69,11 +78,14 @@
 
     /// @param upstream the upstream.
     /// @return its entry, or null.
+    ejection_entry* find(const upstream_id& upstream);
+    /// @copydoc find
     const ejection_entry* find(const upstream_id& upstream) const;
 
     /// Sums up the capacity that the row leaves in service. All entries count, released ones too.
     /// @param capacity the live members.
-    /// @return the slots of the live members without an entry for their incarnation.
+    /// @return the slots of the live members without an entry. An entry for an earlier incarnation
+    ///         counts as well, since some daemons may not know of the restart yet.
     int slots_in_service(const service_capacity& capacity) const;
 
     /// Tells whether one more upstream may be taken out of service.
--- /dev/null
+++ b/src/health/ejection_view.cpp
@@ -0,0 +1,114 @@
+#include "health/ejection_view.h"
+
+#include <algorithm>
+
+namespace galenaroad {
+
+namespace {
+
+// Messages that waited in a socket during a pause have been read after this time.
+constexpr std::chrono::seconds refusal_after_pause{1};
+
+} // namespace
+
+bool ejection_view::receive(const aged_row& received, steady_time now)
+{
+    if (m_refuse_until && now < *m_refuse_until) {
+        return false;
+    }
+    held_row& held = m_rows[received.row.service];
+    if (received.row.sequence < held.row.sequence) {
+        return false;
+    }
+    const bool is_newer = received.row.sequence > held.row.sequence;
+    std::map<upstream_id, held_grant> grants;
+    for (const ejection_entry& entry : received.row.entries) {
+        grants[entry.upstream] = grant_for(held, entry, received.age, now);
+    }
+    held.row = received.row;
+    held.grants = std::move(grants);
+    return is_newer;
+}
+
+// The end of a grant is fixed when it is first learned. Later messages, which may have been
+// delayed or passed in circles, never make it later.
+ejection_view::held_grant ejection_view::grant_for(const held_row& held,
+                                                   const ejection_entry& entry,
+                                                   std::chrono::milliseconds age, steady_time now)
+{
+    const auto known = held.grants.find(entry.upstream);
+    if (known != held.grants.end() && known->second.grant == entry.grant &&
+        known->second.end_is_known) {
+        return known->second;
+    }
+    held_grant learned;
+    learned.grant = entry.grant;
+    learned.end_is_known = entry.remaining > age;
+    learned.end = learned.end_is_known ? now + (entry.remaining - age) : now;
+    return learned;
+}
+
+void ejection_view::control_loop_ran(steady_time now)
+{
+    if (m_last_run && now - *m_last_run > longest_pause) {
+        m_refuse_until = now + refusal_after_pause;
+    }
+    m_last_run = now;
+}
+
+std::map<upstream_id, upstream_standing> ejection_view::standings(const service_capacity& capacity,
+                                                                  steady_time now) const
+{
+    std::map<upstream_id, upstream_standing> standings;
+    for (const capacity_member& member : capacity.members) {
+        standings[member.upstream] = upstream_standing::in_service;
+    }
+    const auto found = m_rows.find(capacity.service);
+    if (found == m_rows.end()) {
+        return standings;
+    }
+    int live_slots = 0;
+    for (const capacity_member& member : capacity.members) {
+        const ejection_entry* entry = found->second.row.find(member.upstream);
+        if (entry != nullptr && is_honoured(found->second, *entry, member, now)) {
+            standings[member.upstream] = upstream_standing::excluded;
+        }
+        else {
+            live_slots += member.slots;
+        }
+    }
+    if (live_slots >= capacity.floor_slots) {
+        return standings;
+    }
+    for (auto& [upstream, standing] : standings) {
+        if (standing == upstream_standing::excluded &&
+            found->second.row.find(upstream)->kind == removal_kind::ejected) {
+            standing = upstream_standing::least_preferred;
+        }
+    }
+    return standings;
+}
+
+std::optional<aged_row> ejection_view::held(const service_id& service, steady_time now) const
+{
+    const auto found = m_rows.find(service);
+    if (found == m_rows.end()) {
+        return std::nullopt;
+    }
+    aged_row present{found->second.row, std::chrono::milliseconds(0)};
+    for (ejection_entry& entry : present.row.entries) {
+        const held_grant& grant = found->second.grants.at(entry.upstream);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(grant.end - now);
+        entry.remaining = std::max(left, std::chrono::milliseconds(0));
+    }
+    return present;
+}
+
+bool ejection_view::is_honoured(const held_row& held, const ejection_entry& entry,
+                                const capacity_member& member, steady_time now)
+{
+    return entry.kind != removal_kind::released && entry.incarnation == member.incarnation &&
+           held.grants.at(entry.upstream).end > now;
+}
+
+} // namespace galenaroad
--- a/src/health/ejection_view.h
+++ b/src/health/ejection_view.h
@@ -5,7 +5,7 @@
 
 #include <map>
 #include <optional>
-#include <vector>
+#include <string>
 
 namespace galenaroad {
 
@@ -49,12 +49,20 @@
     std::optional<aged_row> held(const service_id& service, steady_time now) const;
 
 private:
+    struct held_grant {
+        std::string grant;
+        bool end_is_known = false;
+        steady_time end;
+    };
     struct held_row {
         ejection_row row;
-        steady_time written; ///< Time of the write on this daemon's clock, by the age received.
+        std::map<upstream_id, held_grant> grants;
     };
 
-    bool is_honoured(const held_row& held, const ejection_entry& entry, steady_time now) const;
+    static held_grant grant_for(const held_row& held, const ejection_entry& entry,
+                                std::chrono::milliseconds age, steady_time now);
+    static bool is_honoured(const held_row& held, const ejection_entry& entry,
+                            const capacity_member& member, steady_time now);
 
     std::map<service_id, held_row> m_rows;
     std::optional<steady_time> m_last_run;
--- /dev/null
+++ b/src/health/evidence_test.cpp
@@ -0,0 +1,111 @@
+#include "health/evidence_test.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaroad {
+
+namespace {
+
+// One failure in a hundred is within normal operation; a lower base would let two failures decide.
+constexpr double least_failure_ratio = 0.01;
+constexpr double greatest_failure_ratio = 0.95;
+// Peers that fail more often than this leave no room for a worse upstream.
+constexpr double hopeless_failure_ratio = 0.7;
+
+// Bounds of one attempt's contribution. Service times have heavy tails: about one healthy attempt
+// in a hundred takes ten times longer, so a single one must not weigh more than ln 100 = 4.6.
+constexpr double least_contribution = -2.0;
+constexpr double usual_contribution = 1.5;
+constexpr double greatest_completed = 3.0;
+// Three open attempts are all that a stalled upstream with three slots ever shows, so a very old
+// one has to weigh more than a completed one.
+constexpr double greatest_open = 6.5;
+constexpr double open_slope = 2.0;
+
+/// Cumulative sum that restarts at zero.
+class running_sum {
+public:
+    void add(double contribution, steady_time started)
+    {
+        if (m_evidence.value + contribution <= 0) {
+            m_evidence = test_evidence{};
+            return;
+        }
+        if (m_evidence.samples == 0) {
+            m_evidence.since = started;
+        }
+        m_evidence.value += contribution;
+        ++m_evidence.samples;
+    }
+    const test_evidence& evidence() const { return m_evidence; }
+
+private:
+    test_evidence m_evidence;
+};
+
+} // namespace
+
+evidence_test::evidence_test(const detection_settings& settings, const peer_reference& peers)
+    : m_settings(settings), m_peers(peers), m_shift(std::log(settings.slowdown))
+{
+}
+
+test_evidence evidence_test::failures(const std::deque<attempt_sample>& samples) const
+{
+    const double base = std::max(m_peers.failure_ratio, least_failure_ratio);
+    if (base > hopeless_failure_ratio) {
+        return {};
+    }
+    const double raised = std::min(base + m_settings.failure_excess, greatest_failure_ratio);
+    const double failure = std::log(raised / base);
+    const double success = std::log((1 - raised) / (1 - base));
+    running_sum sum;
+    for (const attempt_sample& sample : samples) {
+        sum.add(sample.failed ? failure : success, sample.started);
+    }
+    return sum.evidence();
+}
+
+test_evidence evidence_test::latencies(const std::deque<attempt_sample>& samples,
+                                       const std::vector<steady_time>& open, steady_time now) const
+{
+    running_sum sum;
+    auto next_open = open.begin();
+    const auto add_open = [&](steady_time until) {
+        for (; next_open != open.end() && *next_open <= until; ++next_open) {
+            const double contribution = open_ratio(log_milliseconds(now - *next_open));
+            if (contribution > 0) {
+                sum.add(contribution, *next_open);
+            }
+        }
+    };
+    for (const attempt_sample& sample : samples) {
+        add_open(sample.started);
+        if (!sample.failed) {
+            sum.add(completed_ratio(sample.log_time), sample.started);
+        }
+    }
+    add_open(now);
+    return sum.evidence();
+}
+
+double evidence_test::completed_ratio(double log_time) const
+{
+    const double excess = log_time - m_peers.log_time;
+    const double ratio =
+        m_shift / (m_peers.log_spread * m_peers.log_spread) * (excess - m_shift / 2);
+    const double bound = usual_contribution + std::max(0.0, excess - m_shift);
+    return std::clamp(ratio, least_contribution, std::min(bound, greatest_completed));
+}
+
+double evidence_test::open_ratio(double log_age) const
+{
+    const double excess = log_age - m_peers.log_time;
+    const double ratio =
+        m_shift / (m_peers.log_spread * m_peers.log_spread) * (excess - m_shift / 2);
+    const double bound = usual_contribution + open_slope * std::max(0.0, excess - m_shift);
+    return std::min({ratio, bound, greatest_open});
+}
+
+} // namespace galenaroad
--- a/src/health/hold_timer.h
+++ b/src/health/hold_timer.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <chrono>
+#include <optional>
 
 namespace galenaroad {
 
@@ -36,6 +37,15 @@
     /// @param now the current time.
     void sick(steady_time now);
 
+    /// Takes over a hold that the upstream's owner reported. A hold never becomes shorter.
+    /// @param end the end of the reported hold.
+    /// @param now the current time.
+    void hold_until(steady_time end, steady_time now);
+
+    /// Notes that an ejection has ended: the upstream returns by trial traffic and slow start.
+    /// @param now the current time.
+    void returned(steady_time now);
+
     /// @param now the current time.
     /// @return the phase.
     hold_phase phase(steady_time now) const;
@@ -44,14 +54,17 @@
     /// @return the preference weight of the phase, above 0 and at most 1.
     double preference(steady_time now) const;
 
+    /// @param now the current time.
+    /// @return the time left of the hold; zero when the upstream is not held.
+    std::chrono::nanoseconds remaining(steady_time now) const;
+
     /// @return the length of the current or latest hold; zero before the first.
     std::chrono::seconds hold() const { return m_hold; }
 
 private:
-    steady_time m_announced{};
-    steady_time m_held_until{};
+    std::optional<steady_time> m_announced;
+    std::optional<steady_time> m_held_until;
     std::chrono::seconds m_hold{0};
-    bool m_was_announced = false;
 };
 
 } // namespace galenaroad
--- a/src/health/outlier_detector.h
+++ b/src/health/outlier_detector.h
@@ -1,15 +1,19 @@
 #pragma once
 
 #include "health/detection_settings.h"
+#include "health/evidence_test.h"
 #include "health/upstream_window.h"
 #include "model/upstream.h"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 namespace galenaroad {
 
+class peer_group;
+
 /// What the detector thinks of an upstream.
 enum class health_state { healthy, suspect, sick };
 
@@ -87,6 +91,17 @@
         steady_time warm_at;
     };
 
+    void judge_class(request_class work, steady_time now,
+                     std::map<upstream_id, health_verdict>& verdicts) const;
+    health_verdict judge(const candidate& known, const peer_group& group, std::size_t position,
+                         request_class work, steady_time now) const;
+    /// Repeats a test against the peers over the period of its evidence.
+    test_evidence confirm(test_evidence found, const peer_group& group, std::size_t position,
+                          const std::function<test_evidence(const evidence_test&)>& repeat) const;
+    double suspect_limit() const;
+    void limit_to_suspect(health_verdict& verdict) const;
+    void grade_all(std::map<upstream_id, health_verdict>& verdicts) const;
+
     detection_settings m_settings;
     std::map<upstream_id, candidate> m_candidates;
 };
--- /dev/null
+++ b/src/health/peer_group.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "health/evidence_test.h"
+#include "health/upstream_window.h"
+
+#include <optional>
+#include <vector>
+
+namespace galenaroad {
+
+/// The upstreams of one service in one request class, from which references are taken.
+class peer_group {
+public:
+    /// Upstreams other than the candidate that a comparison needs.
+    static constexpr std::size_t least_peers = 3;
+    /// Attempts that a reference over a short period needs.
+    static constexpr std::size_t least_samples = 8;
+
+    /// @param work the request class to compare in.
+    explicit peer_group(request_class work) : m_work(work) {}
+
+    /// Adds an upstream.
+    /// @param window its window, which has to outlive the group.
+    /// @param now the current time.
+    void add(const upstream_window& window, steady_time now);
+
+    /// Takes the usual reference: median of the peers' recent levels.
+    /// @param candidate position of the upstream to leave out, in the order of adding.
+    /// @return the reference; empty when too few peers have attempts.
+    std::optional<peer_reference> usual(std::size_t candidate) const;
+
+    /// Takes a reference over the same period as some evidence, so that peers which have changed
+    /// at the same time are compared as they are now.
+    /// @param candidate position of the upstream to leave out.
+    /// @param since start of the period.
+    /// @return the reference; empty when the peers have too few attempts in the period.
+    std::optional<peer_reference> since(std::size_t candidate, steady_time since) const;
+
+private:
+    struct level {
+        const std::deque<attempt_sample>* samples;
+        bool usable = false; ///< Whether there are enough successes for a level.
+        double log_time = 0;
+        double log_spread = 0;
+        std::size_t judged = 0;
+        std::size_t failed = 0;
+    };
+
+    request_class m_work;
+    std::vector<level> m_levels;
+};
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/health/service_health.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "health/hold_timer.h"
+#include "health/outlier_detector.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// What an owner tells its callers about an upstream, carried on responses.
+struct owner_report {
+    double preference = 1.0;
+    std::chrono::milliseconds hold_remaining{0}; ///< Zero when the owner does not hold it.
+};
+
+/// An upstream that should be ejected, with the reason.
+struct ejection_wish {
+    upstream_id upstream;
+    std::string reason;
+};
+
+/// A daemon's view of the health of one service's upstreams.
+///
+/// Combines its own detector, the owners' reports and the hold times to one preference weight for
+/// each upstream, and to the list of upstreams that the service's evaluator proposes to eject.
+class service_health {
+public:
+    /// An owner's lowered preference without a hold counts for this time.
+    static constexpr std::chrono::seconds report_lifetime{1};
+
+    explicit service_health(const detection_settings& settings);
+
+    /// Adds an upstream that was just announced; it starts with a cold start.
+    /// @param id the upstream.
+    /// @param now the time of the announcement.
+    void announce(const upstream_id& id, steady_time now);
+
+    /// Adds an upstream that was serving before this daemon knew it.
+    /// @param id the upstream.
+    void assume_warm(const upstream_id& id);
+
+    /// Removes an upstream.
+    /// @param id the upstream.
+    void depart(const upstream_id& id);
+
+    /// Passes observations to the detector; see outlier_detector::record().
+    void record(const upstream_id& id, const observation& attempt, steady_time now);
+
+    /// Passes open attempts to the detector; see outlier_detector::running().
+    void running(const upstream_id& id, std::vector<open_attempt> open);
+
+    /// Drops the evidence about an upstream whose link is at fault.
+    /// @param id the upstream.
+    void discard_evidence(const upstream_id& id);
+
+    /// Takes over what an upstream's owner reported on a response.
+    /// @param id the upstream.
+    /// @param report the report.
+    /// @param now the time of receipt.
+    void report(const upstream_id& id, const owner_report& report, steady_time now);
+
+    /// Notes that the ejection of an upstream has ended: it returns by slow start.
+    /// @param id the upstream.
+    /// @param now the current time.
+    void returned(const upstream_id& id, steady_time now);
+
+    /// Judges all upstreams. To be called about every 100 ms.
+    /// @param now the current time.
+    void evaluate(steady_time now);
+
+    /// @param id the upstream.
+    /// @param now the current time.
+    /// @return the preference weight, above 0 and at most 1.
+    double preference(const upstream_id& id, steady_time now) const;
+
+    /// @param id an upstream that this daemon owns.
+    /// @param now the current time.
+    /// @return what to report on responses.
+    owner_report report_for(const upstream_id& id, steady_time now) const;
+
+    /// @param id the upstream.
+    /// @return the latest verdict, or null for an unknown upstream.
+    const health_verdict* verdict(const upstream_id& id) const;
+
+    /// @param now the current time.
+    /// @return the upstreams that are held, for the service's evaluator.
+    std::vector<ejection_wish> ejection_wishes(steady_time now) const;
+
+private:
+    struct standing {
+        hold_timer hold;
+        hold_phase phase = hold_phase::serving;
+        health_verdict verdict;
+        std::string reason; ///< Of the current hold.
+        double reported_preference = 1.0;
+        steady_time report_end{};
+    };
+
+    void follow_phase(const upstream_id& id, standing& known, steady_time now);
+
+    outlier_detector m_detector;
+    std::map<upstream_id, standing> m_standings;
+};
+
+} // namespace galenaroad
--- a/src/health/upstream_window.h
+++ b/src/health/upstream_window.h
@@ -49,7 +49,8 @@
     /// Adds an attempt that ended.
     /// @param attempt the attempt.
     /// @param now the time at which it ended.
-    void record(const observation& attempt, steady_time now);
+    /// @param is_evidence whether the attempt becomes a sample for the tests.
+    void record(const observation& attempt, steady_time now, bool is_evidence = true);
 
     /// Sums up the last buckets.
     /// @param work the request class.
--- /dev/null
+++ b/src/tests/hold_timer_test.cpp
@@ -0,0 +1,48 @@
+#include "health/hold_timer.h"
+
+#include "base/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+TEST_CASE("hold_timer: the hold doubles for a flapping upstream, up to its limit", "[health]")
+{
+    // Guards against a flapping upstream that returns every ten seconds for ever.
+    manual_clock time;
+    hold_timer timer;
+    auto expected = hold_timer::first_hold;
+    for (int round = 0; round < 8; ++round) {
+        timer.sick(time.steady_now());
+        timer.sick(time.steady_now()); // A second verdict within the hold changes nothing.
+        CHECK(timer.hold() == expected);
+        time.advance(timer.hold() + 1s);
+        CHECK(timer.phase(time.steady_now()) == hold_phase::trial);
+        expected = std::min(expected * 2, hold_timer::longest_hold);
+    }
+    CHECK(timer.hold() == hold_timer::longest_hold);
+    time.advance(hold_timer::forgiveness);
+    timer.sick(time.steady_now());
+    CHECK(timer.hold() == hold_timer::first_hold);
+}
+
+TEST_CASE("hold_timer: an upstream returns by trial traffic and slow start", "[health]")
+{
+    // Guards against a returning upstream that receives its full share at once.
+    manual_clock time;
+    hold_timer timer;
+    CHECK(timer.preference(time.steady_now()) == 1.0);
+    timer.sick(time.steady_now());
+    double before = timer.preference(time.steady_now());
+    CHECK(before == hold_timer::held_preference);
+    time.advance(hold_timer::first_hold);
+    for (auto passed = 0s; passed < hold_timer::trial_time + hold_timer::ramp_time; passed += 1s) {
+        const double now = timer.preference(time.steady_now());
+        CHECK(now >= before);
+        CHECK(now < 1.0);
+        before = now;
+        time.advance(1s);
+    }
+    CHECK(timer.phase(time.steady_now()) == hold_phase::serving);
+}
--- /dev/null
+++ b/src/tests/link_monitor_test.cpp
@@ -0,0 +1,40 @@
+#include "health/link_monitor.h"
+
+#include "base/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+TEST_CASE("link_monitor: a fault of several upstreams of an instance is link state", "[health]")
+{
+    // Guards against ejecting healthy upstreams that only this daemon cannot reach.
+    manual_clock time;
+    link_monitor links;
+    const upstream_id first{"a", "orders"};
+    const upstream_id second{"a", "manuals"};
+    CHECK(links.record(first, link_event::timed_out, time.steady_now()) ==
+          fault_attribution::upstream);
+    CHECK(links.record(first, link_event::timed_out, time.steady_now()) ==
+          fault_attribution::upstream);
+    CHECK_FALSE(links.is_marked("a", time.steady_now()));
+    CHECK(links.record(second, link_event::timed_out, time.steady_now()) ==
+          fault_attribution::link);
+    CHECK(links.is_marked("a", time.steady_now()));
+    CHECK_FALSE(links.is_marked("b", time.steady_now()));
+    links.record(first, link_event::answered, time.steady_now());
+    CHECK_FALSE(links.is_marked("a", time.steady_now()));
+}
+
+TEST_CASE("link_monitor: a marked link is tried again", "[health]")
+{
+    // Guards against a mark that outlives its fault because nothing is sent over the link.
+    manual_clock time;
+    link_monitor links;
+    CHECK(links.record({"a", "orders"}, link_event::connection_failed, time.steady_now()) ==
+          fault_attribution::link);
+    CHECK(links.is_marked("a", time.steady_now()));
+    time.advance(link_monitor::mark_lifetime + 1ms);
+    CHECK_FALSE(links.is_marked("a", time.steady_now()));
+}
