Add headers of membership and configuration

Cause: routing, health and the daemon need the interfaces of membership and configuration before these exist. Ruled out: the model's instance as the member table's form; with four strings in each upstream it takes about three times the memory of a record that shares service names. Change: headers only, no code yet. Conclusion: others can compile against the interfaces.

--- /dev/null
+++ b/src/configuration/configuration_reader.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/result.h"
+#include "model/contract.h"
+#include "model/contract_version.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+class object_store;
+class table_service;
+
+/// A live daemon as the choice of readers sees it.
+struct reader_candidate {
+    std::string name;
+    std::string region;
+};
+
+/// Reads the accepted contracts from the table at those daemons that are chosen as readers: the two
+/// live daemons per region with the highest rendezvous hash. The fleet's read rate is therefore two
+/// reads per second and region at any number of daemons.
+class configuration_reader {
+public:
+    /// @param table the table service.
+    /// @param objects the object store, for bodies above 64 KiB.
+    /// @param time the clock; must outlive the reader.
+    configuration_reader(table_service& table, object_store& objects, const clock& time);
+
+    /// Chooses the readers of one region.
+    /// @param live the live daemons of all regions.
+    /// @param region the region.
+    /// @return the names of at most two daemons, highest hash first.
+    static std::vector<std::string> readers(const std::vector<reader_candidate>& live,
+                                            const std::string& region);
+
+    /// Decides whether this daemon reads the table now: a second has passed since the last read,
+    /// and it is a reader or has no configuration yet.
+    /// @param live the live daemons.
+    /// @param self this daemon.
+    /// @param ready whether this daemon already holds a configuration.
+    /// @return whether to call read().
+    bool due(const std::vector<reader_candidate>& live, const reader_candidate& self,
+             bool ready) const;
+
+    /// Lists the table once. Blocks on the table service, so the daemon calls it on a store thread
+    /// and hands the contracts to its configuration_store on the control thread.
+    /// @param known the versions held; only newer contracts are loaded.
+    /// @return the contracts that are newer, or the error.
+    result<std::vector<contract>> read(const std::vector<contract_head>& known);
+
+private:
+    table_service& m_table;
+    object_store& m_objects;
+    const clock& m_clock;
+    steady_time m_last_read;
+};
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/membership/gossip_message.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "membership/member_record.h"
+#include "model/contract_version.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// Change of a member's state without its content. `alive` and `leaving` come from the member
+/// itself, `suspect` and `dead` from others.
+struct state_change {
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::uint64_t version = 0;
+    std::uint64_t content_version = 0; ///< Version of the content that the change leaves in force.
+    instance_state state = instance_state::alive;
+};
+
+/// Copy of a service's row in table `ejections`. The text is opaque here. A higher row version
+/// replaces a lower one. Validity travels as remaining time, so that no wall clocks are compared.
+struct ejection_row {
+    service_id service;
+    std::uint64_t row_version = 0;
+    std::string row;
+    std::chrono::milliseconds remaining{0};
+};
+
+/// News that daemons pass on. Bounded to 1,200 bytes in a gossip message.
+struct gossip_updates {
+    std::vector<member> members;
+    std::vector<state_change> changes;
+    std::vector<contract_head> contracts;
+    std::vector<ejection_row> ejections;
+};
+
+/// Kind of a gossip message.
+enum class gossip_type {
+    ping,
+    indirect_ping, ///< Asks the receiver to ping the target for the sender.
+    acknowledgement,
+    update,
+};
+
+/// Message of the membership protocol. Each is one-way: an acknowledgement is a message of its own.
+struct gossip_message {
+    gossip_type type = gossip_type::update;
+    std::uint64_t sequence = 0;
+    std::string sender;         ///< Instance name of the daemon that sent the message.
+    std::string sender_address; ///< Where the sender receives answers.
+    std::string target;         ///< Indirect ping: name of the member to ping.
+    std::string target_address;
+    std::uint64_t contracts_fingerprint = 0; ///< Hash of all contract heads that the sender holds.
+    gossip_updates updates;
+};
+
+/// A gossip message and the address that it goes to.
+struct outgoing_gossip {
+    std::string address;
+    gossip_message message;
+};
+
+/// Version that a daemon holds of a member, for comparison.
+struct member_version {
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::uint64_t version = 0;
+    std::uint64_t content_version = 0;
+};
+
+/// First or second step of an exchange of members. Joining: no digest, and all members are wanted.
+/// Anti-entropy: the first step carries a digest, the second names and pushes single members.
+struct member_request {
+    member sender;
+    bool everything = false;
+    std::vector<std::uint32_t> digest; ///< Sums of a bucket_digest; empty in the second step.
+    std::vector<std::string> wanted;
+    std::vector<member> pushed;
+};
+
+/// Answer to a member_request.
+struct member_response {
+    std::vector<member> members;
+    std::vector<member_version>
+        differing;                      ///< All that the answering daemon holds in these buckets.
+    std::vector<std::uint32_t> buckets; ///< Indices of the buckets that differ.
+    std::vector<state_change> changes;  ///< Pushed members that the answering daemon knows as dead.
+    std::vector<ejection_row> ejections;
+};
+
+} // namespace galenaroad
