--- /dev/null
+++ b/src/settings/source_error.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace galenaroad {
+
+/// A fault in an input file, with its place.
+struct source_error {
+    std::string file;
+    int line = 0;   ///< From 1.
+    int column = 0; ///< From 1.
+    std::string message;
+};
+
+/// The loaded value, or all faults that were found in the input.
+template <typename T>
+using load_result = tl::expected<T, std::vector<source_error>>;
+
+/// Formats a fault as `file:line:column: message`.
+/// @param error the fault.
+/// @return one line of text without a line break.
+std::string to_text(const source_error& error);
+
+} // namespace galenaroad
