--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/log_level.h"
 #include "model/instance.h"
 #include "settings/address_range.h"
 
@@ -8,9 +9,6 @@
 
 namespace galenaroad {
 
-/// Least severe log entries that are written.
-enum class log_level { debug, info, warning, error };
-
 /// Threads and connections that a daemon may use.
 struct worker_limits {
     int entry_threads = 64;           ///< Requests of callers handled at the same time.
@@ -29,8 +27,8 @@
     std::vector<address_range> join_ranges; ///< Empty for the first daemon of a fleet.
     std::string table_service_address;
     std::string object_store_address;
-    std::string spans_file; ///< Where spans are appended; empty for no spans.
-    log_level level = log_level::info;
+    std::string spans_file;            ///< Where spans are appended; empty for no spans.
+    log_level level = log_level::info; ///< Least severe log entries that are written.
     worker_limits workers;
     std::string contracts_folder; ///< Declarations to start with; empty for none.
 };
