Add the ledger of actions with a caller's key

Ruled out: claims as leases, because a paused holder may dispatch after the expiry; a read before each claim, because the insert's conflict tells the same at no cost; giving up after a lost response without a release, because the leftover claim would block the caller's retry for ever. A leftover claim is released by a write even when its row is absent, so that a claim that arrives late conflicts. Conclusion: only the claim's attempt can start, and no lock spans a store call.

--- /dev/null
+++ b/src/action/action_ledger.cpp
@@ -0,0 +1,336 @@
+#include "action/action_ledger.h"
+
+#include "base/error_kind.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace galenaroad {
+
+namespace {
+
+constexpr auto actions_table = "actions";
+constexpr auto bodies_bucket = "action-bodies";
+// A claim needs two writes after a lost response and three after a released key; more are needed
+// only while several daemons claim and release the same key.
+constexpr int max_claim_writes = 4;
+constexpr int max_settle_writes = 3;
+
+std::string row_key(const action_claim& claim)
+{
+    return claim.business + "/" + claim.key;
+}
+
+// A row that is not understood may belong to a newer version, so its action may have run.
+constexpr auto outcome_of_unreadable_row = claim_kind::outcome_unknown;
+
+claim_outcome outcome_of(claim_kind kind)
+{
+    claim_outcome outcome;
+    outcome.kind = kind;
+    return outcome;
+}
+
+bool is_settled(const action_row& row, settlement_kind kind)
+{
+    switch (kind) {
+    case settlement_kind::release:
+        return row.state == action_state::released;
+    case settlement_kind::complete:
+        return row.state == action_state::completed;
+    case settlement_kind::unknown:
+        break;
+    }
+    return row.state != action_state::claimed || row.outcome_unknown;
+}
+
+// True when the row is beyond the settlement: nothing is left to write, and a write of the
+// attempt that is still under way cannot match the row any more. A released row of an earlier
+// attempt is not: the claim that replaces it may still arrive, so it is written once more.
+bool is_superseded(const action_row& row, const settlement& entry)
+{
+    if (row.attempt_id == entry.claim.attempt_id) {
+        return is_settled(row, entry.kind);
+    }
+    return row.state != action_state::released || entry.kind != settlement_kind::release;
+}
+
+} // namespace
+
+action_ledger::action_ledger(table_service& tables, object_store& objects, const clock& time,
+                             attempt_id_source& attempts, incarnation_alive alive,
+                             action_ledger_limits limits)
+    : m_tables(tables),
+      m_objects(objects),
+      m_clock(time),
+      m_attempts(attempts),
+      m_alive(std::move(alive)),
+      m_limits(limits),
+      m_pending(limits.max_pending_body_bytes)
+{
+}
+
+claim_outcome action_ledger::claim(const keyed_request& request)
+{
+    if (m_pending.size() >= m_limits.max_pending) {
+        return outcome_of(claim_kind::store_unavailable);
+    }
+    claim_try next{{request.business, request.key, request.digest, m_attempts.next(), {}}, {}};
+    const auto row = claimed_row(next.claim).to_json();
+    for (int writes = 0; writes < max_claim_writes; ++writes) {
+        if (m_clock.steady_now() >= request.deadline) {
+            break;
+        }
+        const auto written = write_row(next.claim, row, next.replaced_tag);
+        if (written) {
+            next.claim.tag = *written;
+            return {claim_kind::won, std::move(next.claim), {}};
+        }
+        if (!may_have_lost(next, written.error())) {
+            break;
+        }
+        const auto current = m_tables.read(actions_table, row_key(next.claim));
+        if (!current) {
+            break;
+        }
+        auto judged = judge(*current, next.claim);
+        if (!judged.may_claim) {
+            return std::move(judged.outcome);
+        }
+        next.replaced_tag = std::move(judged.replaced_tag);
+    }
+    return give_up(next);
+}
+
+bool action_ledger::complete(const action_claim& claim, recorded_response response)
+{
+    return settle({claim, settlement_kind::complete, {}, std::move(response)});
+}
+
+bool action_ledger::release(const action_claim& claim, not_run_proof proof)
+{
+    return settle({claim, settlement_kind::release, proof, {}});
+}
+
+bool action_ledger::leave_unknown(const action_claim& claim)
+{
+    return settle({claim, settlement_kind::unknown, {}, {}});
+}
+
+std::size_t action_ledger::retry_pending(std::size_t limit)
+{
+    std::size_t confirmed = 0;
+    const std::size_t tries = std::min(limit, m_pending.size());
+    for (std::size_t i = 0; i < tries; ++i) {
+        auto entry = m_pending.pop();
+        if (!entry) {
+            break;
+        }
+        const auto outcome = try_settle(*entry);
+        if (outcome == settle_outcome::done) {
+            ++confirmed;
+            continue;
+        }
+        m_pending.push(std::move(*entry));
+        if (outcome == settle_outcome::store_unavailable) {
+            break;
+        }
+    }
+    return confirmed;
+}
+
+std::size_t action_ledger::pending_releases() const
+{
+    return m_pending.count(settlement_kind::release);
+}
+
+action_ledger::judgement action_ledger::judge(const table_row& row, const action_claim& claim)
+{
+    if (row.tag.empty()) {
+        return {true, {}, {}};
+    }
+    const auto action = action_row::from_json(row.value);
+    if (!action) {
+        return {false, {}, outcome_of(outcome_of_unreadable_row)};
+    }
+    if (action->digest != claim.digest) {
+        return {false, {}, outcome_of(claim_kind::key_reused)};
+    }
+    if (action->state == action_state::released) {
+        return {true, row.tag, {}};
+    }
+    if (action->state == action_state::completed) {
+        return {false, {}, replay(*action)};
+    }
+    if (action->attempt_id == claim.attempt_id) {
+        auto won = outcome_of(claim_kind::won);
+        won.claim = claim;
+        won.claim.tag = row.tag;
+        return {false, {}, std::move(won)};
+    }
+    return judge_claimed(*action);
+}
+
+action_ledger::judgement action_ledger::judge_claimed(const action_row& row)
+{
+    if (row.outcome_unknown) {
+        return {false, {}, outcome_of(claim_kind::outcome_unknown)};
+    }
+    const auto& daemon = m_attempts.daemon();
+    if (row.instance != daemon.instance || row.incarnation != daemon.incarnation) {
+        const bool alive = m_alive(row.instance, row.incarnation);
+        return {
+            false, {}, outcome_of(alive ? claim_kind::in_progress : claim_kind::outcome_unknown)};
+    }
+    auto own = m_pending.take(row.attempt_id);
+    if (!own) {
+        return {false, {}, outcome_of(claim_kind::in_progress)};
+    }
+    return judge_own_pending(std::move(*own));
+}
+
+action_ledger::judgement action_ledger::judge_own_pending(settlement entry)
+{
+    if (entry.kind == settlement_kind::release && try_settle(entry) == settle_outcome::done) {
+        return {true, entry.claim.tag, {}};
+    }
+    judgement judged;
+    switch (entry.kind) {
+    case settlement_kind::release:
+        judged.outcome.kind = claim_kind::store_unavailable;
+        break;
+    case settlement_kind::complete:
+        judged.outcome.kind = claim_kind::recorded;
+        judged.outcome.response = entry.response;
+        break;
+    case settlement_kind::unknown:
+        judged.outcome.kind = claim_kind::outcome_unknown;
+        break;
+    }
+    m_pending.push(std::move(entry));
+    return judged;
+}
+
+claim_outcome action_ledger::replay(const action_row& row)
+{
+    claim_outcome outcome{claim_kind::recorded, {}, row.response};
+    if (row.body_object.empty()) {
+        return outcome;
+    }
+    auto body = m_objects.read(bodies_bucket, row.body_object);
+    if (!body) {
+        // The action ran, so "not run" would be false; the body may be readable later.
+        return outcome_of(claim_kind::outcome_unknown);
+    }
+    outcome.response.body = std::move(*body);
+    return outcome;
+}
+
+// Notes the error of a claim's write; returns whether reading the row tells more.
+bool action_ledger::may_have_lost(claim_try& tried, const std::error_code& error)
+{
+    const auto kind = kind_of(error);
+    tried.may_be_written = tried.may_be_written || kind == error_kind::outcome_unknown;
+    return kind == error_kind::outcome_unknown || kind == error_kind::version_conflict;
+}
+
+claim_outcome action_ledger::give_up(const claim_try& tried)
+{
+    if (tried.may_be_written) {
+        m_pending.push(
+            {tried.claim, settlement_kind::release, not_run_proof::never_dispatched, {}});
+    }
+    return outcome_of(claim_kind::store_unavailable);
+}
+
+bool action_ledger::settle(settlement entry)
+{
+    if (try_settle(entry) == settle_outcome::done) {
+        return true;
+    }
+    m_pending.push(std::move(entry));
+    return false;
+}
+
+action_ledger::settle_outcome action_ledger::try_settle(settlement& entry)
+{
+    const auto body_object = store_body(entry);
+    if (!body_object) {
+        return settle_outcome::unconfirmed;
+    }
+    const auto row = settled_row(entry, *body_object).to_json();
+    bool must_read = entry.claim.tag.empty();
+    for (int writes = 0; writes < max_settle_writes; ++writes) {
+        if (must_read) {
+            const auto current = m_tables.read(actions_table, row_key(entry.claim));
+            if (!current) {
+                return settle_outcome::store_unavailable;
+            }
+            entry.claim.tag = current->tag;
+            const auto found = action_row::from_json(current->value);
+            if (!current->tag.empty() && (!found || is_superseded(*found, entry))) {
+                return settle_outcome::done;
+            }
+        }
+        const auto written = write_row(entry.claim, row, entry.claim.tag);
+        if (written) {
+            entry.claim.tag = *written;
+            return settle_outcome::done;
+        }
+        if (kind_of(written.error()) == error_kind::store_unavailable) {
+            return settle_outcome::store_unavailable;
+        }
+        must_read = true;
+    }
+    return settle_outcome::unconfirmed;
+}
+
+result<std::string> action_ledger::store_body(const settlement& entry)
+{
+    const auto& body = entry.response.body;
+    if (body.size() <= m_limits.max_row_body_bytes) {
+        return std::string();
+    }
+    auto object = entry.claim.business + "/" + entry.claim.attempt_id;
+    if (const auto error = m_objects.write(bodies_bucket, object, body)) {
+        return tl::unexpected(error);
+    }
+    return object;
+}
+
+action_row action_ledger::claimed_row(const action_claim& claim) const
+{
+    action_row row;
+    row.attempt_id = claim.attempt_id;
+    row.instance = m_attempts.daemon().instance;
+    row.incarnation = m_attempts.daemon().incarnation;
+    row.digest = claim.digest;
+    return row;
+}
+
+action_row action_ledger::settled_row(const settlement& entry, const std::string& body_object) const
+{
+    auto row = claimed_row(entry.claim);
+    row.outcome_unknown = entry.kind == settlement_kind::unknown;
+    row.proof = entry.proof;
+    row.response = entry.response;
+    row.body_object = body_object;
+    if (entry.kind == settlement_kind::release) {
+        row.state = action_state::released;
+    }
+    if (entry.kind == settlement_kind::complete) {
+        row.state = action_state::completed;
+    }
+    return row;
+}
+
+result<std::string> action_ledger::write_row(const action_claim& claim, const std::string& row,
+                                             const std::string& tag)
+{
+    if (tag.empty()) {
+        return m_tables.insert(actions_table, row_key(claim), row);
+    }
+    return m_tables.update(actions_table, row_key(claim), row, tag);
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/action/settlement.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "action/not_run_proof.h"
+#include "action/recorded_response.h"
+
+#include <string>
+
+namespace galenaroad {
+
+/// A won claim of a caller's key: the right to dispatch one attempt.
+struct action_claim {
+    std::string business;
+    std::string key;
+    std::string digest;
+    std::string attempt_id;
+    std::string tag; ///< Tag of the row with the claim; empty when it is not known.
+};
+
+/// How an attempt with a claim ended.
+enum class settlement_kind {
+    release,  ///< It certainly did not run.
+    complete, ///< It ran; its response is known.
+    unknown,  ///< It may have run.
+};
+
+/// End of an attempt, to be written to the claim's row.
+struct settlement {
+    action_claim claim;
+    settlement_kind kind = settlement_kind::unknown;
+    not_run_proof proof = not_run_proof::never_dispatched; ///< For a release.
+    recorded_response response;                            ///< For a completion.
+};
+
+} // namespace galenaroad
