--- /dev/null
+++ b/src/tests/action_gate_test.cpp
@@ -0,0 +1,121 @@
+#include "action/action_gate.h"
+#include "action/request_digest.h"
+#include "base/manual_clock.h"
+#include "platform/memory_object_store.h"
+#include "platform/memory_table_service.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct gate_fixture {
+    manual_clock time;
+    memory_table_service tables;
+    memory_object_store objects;
+    attempt_id_source attempts{{"a", "127.0.0.1:7001", 5}, random_engine(1)};
+    action_ledger ledger{tables, objects, time, attempts,
+                         [](const std::string&, std::uint64_t) { return true; }};
+    issued_action_table issued{attempts.daemon(), "secret", time};
+    action_gate gate{ledger, issued, attempts, time,
+                     [](const std::string& address, std::uint64_t incarnation) {
+                         return address == "127.0.0.1:7002" && incarnation == 6;
+                     }};
+    route once;
+
+    gate_fixture() { once.once = true; }
+    action_request request(const std::string& key) const
+    {
+        return {"tetteh", key, "digest", time.steady_now() + 2s};
+    }
+    action_decision decide(const std::string& key) { return gate.decide(request(key), once); }
+};
+
+} // namespace
+
+TEST_CASE("request_digest: different requests have different digests", "[action]")
+{
+    // Guards against a digest that joins its fields, and one that depends on chunk borders.
+    request_digest whole("POST", "/orders");
+    whole.append_body("belt");
+    request_digest chunks("POST", "/orders");
+    chunks.append_body("be");
+    chunks.append_body("lt");
+    request_digest shifted("POST", "/ordersb");
+    shifted.append_body("elt");
+    CHECK(whole.text() == chunks.text());
+    CHECK(whole.text().size() == 32);
+    CHECK(whole.text() != shifted.text());
+}
+
+TEST_CASE("action_gate: each way of a request is decided", "[action]")
+{
+    // Guards against a request that takes a way with a weaker guarantee than its route declares.
+    gate_fixture f;
+    CHECK(f.gate.decide(f.request("k"), route()).ticket.way == action_way::unguarded);
+    CHECK(f.decide("").ticket.way == action_way::no_key);
+    CHECK(f.decide("two words").error == error_kind::invalid_request);
+    CHECK(f.decide(std::string(129, 'k')).error == error_kind::invalid_request);
+    const auto run = f.decide("k");
+    CHECK(run.step == action_step::run);
+    CHECK(run.ticket.way == action_way::caller_key);
+    CHECK(f.decide("k").error == error_kind::action_in_progress);
+    f.gate.completed(run.ticket, {201, {}, "belt"});
+    CHECK(f.decide("k").step == action_step::replay);
+    f.once.key_required = true;
+    CHECK(f.decide("").error == error_kind::key_required);
+}
+
+TEST_CASE("action_gate: issued keys run here or are passed on to a live issuer only", "[action]")
+{
+    // Guards against a run at a daemon that did not issue the key, and against requests to any
+    // address that a forged key names.
+    gate_fixture f;
+    const auto own = *f.issued.issue();
+    const auto run = f.decide(own);
+    CHECK(run.ticket.way == action_way::issued_key);
+    CHECK(f.decide(own).error == error_kind::action_in_progress);
+    auto other_business = f.request(own);
+    other_business.business = "cista-pipa";
+    CHECK(f.gate.decide(other_business, f.once).error == error_kind::key_reused);
+    f.gate.not_run(run.ticket, not_run_proof::fenced);
+    const auto second = f.decide(own);
+    CHECK(second.step == action_step::run);
+    CHECK(second.ticket.attempt_id != run.ticket.attempt_id);
+    const auto key = [](const std::string& address, std::uint64_t incarnation) {
+        return issued_key(address, incarnation, 1, "theirs").text();
+    };
+    CHECK(f.decide(key("127.0.0.1:7002", 6)).issuer_address == "127.0.0.1:7002");
+    CHECK(f.decide(key("127.0.0.1:7002", 5)).error == error_kind::outcome_unknown);
+    CHECK(f.decide(key("10.0.0.1:80", 6)).error == error_kind::outcome_unknown);
+    CHECK(f.decide(key("127.0.0.1:7001", 4)).error == error_kind::outcome_unknown);
+    CHECK(f.decide(key("127.0.0.1:7001", 5)).error == error_kind::invalid_request);
+    CHECK(f.decide("gr1.nonsense").error == error_kind::invalid_request);
+}
+
+TEST_CASE("action_gate: a claim that is won after the deadline is given back", "[action]")
+{
+    // Guards against a dispatch after the caller has been told that the deadline passed.
+    gate_fixture f;
+    store_faults faults;
+    faults.delay = [&](const store_call&) { f.time.advance(3s); };
+    f.tables.inject(faults);
+    CHECK(f.decide("k").error == error_kind::deadline_exceeded_before_run);
+    f.tables.inject({});
+    CHECK(f.decide("k").step == action_step::run);
+    auto expired = f.request("k2");
+    expired.deadline = f.time.steady_now();
+    CHECK(f.gate.decide(expired, f.once).error == error_kind::deadline_exceeded_before_run);
+}
+
+TEST_CASE("action_gate: responses above the limit are not recorded", "[action]")
+{
+    // Guards against a replay of a part of a response.
+    gate_fixture f;
+    const auto run = f.decide("k");
+    f.gate.completed(run.ticket,
+                     {200, {}, std::string(action_gate::max_recorded_body_bytes + 1, 'x')});
+    CHECK(f.decide("k").error == error_kind::outcome_unknown);
+}
