--- a/src/tests/outlier_detector_test.cpp
+++ b/src/tests/outlier_detector_test.cpp
@@ -71,11 +71,11 @@
     {
         std::lognormal_distribution<double> usual(std::log(35.0), 0.4);
         double time =
-            usual(m_random) * slowdown_of_all * (share(m_random) < long_attempts ? 10 : 1);
+            usual(m_random) * slowdown_of_all * (m_share(m_random) < long_attempts ? 10 : 1);
         observation seen;
         if (number == 0) {
             time *= slowdown_of_first;
-            const double drawn = share(m_random);
+            const double drawn = m_share(m_random);
             seen.outcome = drawn < failures_of_first ? attempt_outcome::failure
                            : drawn < shed_of_first   ? attempt_outcome::shed
                                                      : attempt_outcome::success;
@@ -87,7 +87,7 @@
     }
 
     random_engine m_random{7};
-    std::uniform_real_distribution<double> share{0, 1};
+    std::uniform_real_distribution<double> m_share{0, 1};
     std::map<upstream_id, health_verdict> m_verdicts;
 };
 
