--- a/src/configuration/configuration_committer.h
+++ b/src/configuration/configuration_committer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "configuration/contract_row.h"
 #include "model/contract.h"
 
 #include <cstdint>
@@ -43,13 +44,13 @@
 
 private:
     struct stored_row {
-        contract value;
+        contract_row row;
         std::string tag;
     };
 
     result<stored_row> read_row(const std::string& business);
-    result<std::string> row_value(const contract& next);
-    result<commit_outcome> settle(const contract& base, const contract& next);
+    std::error_code write(const stored_row& current, const contract& next);
+    commit_outcome lost(const contract& base, const contract& current, const contract& next);
 
     table_service& m_table;
     object_store& m_objects;
--- a/src/configuration/configuration_follower.h
+++ b/src/configuration/configuration_follower.h
@@ -5,6 +5,7 @@
 #include "model/contract_version.h"
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -23,9 +24,13 @@
 /// with other peers, and decides when the daemon is ready. Belongs to the control thread.
 class configuration_follower {
 public:
+    /// Finds the address of a random live peer; empty when there is none.
+    using peer_source = std::function<std::string()>;
+
     /// @param store the contracts in force; must outlive the follower.
     /// @param time the clock; must outlive the follower.
-    configuration_follower(configuration_store& store, const clock& time);
+    /// @param random_peer where to find peers to ask until the daemon is ready.
+    configuration_follower(configuration_store& store, const clock& time, peer_source random_peer);
 
     /// Notes that a peer holds a version.
     /// @param head the version.
@@ -39,11 +44,7 @@
     /// Notes that a read of the table succeeded and that its contracts were applied.
     void table_read();
 
-    /// Asks for all contracts of a peer, as a joining daemon does.
-    /// @param address the peer's address.
-    void fetch_everything(const std::string& address);
-
-    /// Repeats fetches that had no response.
+    /// Repeats fetches that had no response. Until the daemon is ready, asks peers for everything.
     void tick();
 
     /// @return exchanges to carry out; each is returned once.
@@ -69,16 +70,20 @@
         std::vector<std::string> holders; ///< Peers that announced it, latest last.
         steady_time asked_at;
         bool asked = false;
+        int attempts = 0;
     };
 
     void ask(const std::string& business, wanted_contract& wanted);
-    void want(const contract_head& head, const std::string& address);
+    void drop_satisfied();
 
     configuration_store& m_store;
     const clock& m_clock;
     std::map<std::string, wanted_contract> m_wanted;
     std::vector<outgoing_fetch> m_fetches;
-    steady_time m_last_difference;
+    peer_source m_random_peer;
+    steady_time m_last_change;
+    steady_time m_last_comparison;
+    bool m_answered = false; ///< A ready peer has told all its versions.
     bool m_ready = false;
 };
 
--- a/src/configuration/configuration_reader.h
+++ b/src/configuration/configuration_reader.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace galenaroad {
@@ -14,10 +15,11 @@
 class object_store;
 class table_service;
 
-/// A live daemon as the choice of readers sees it.
+/// A live daemon as the choice of readers sees it. Refers to names that a view keeps: the choice is
+/// made every second among all daemons.
 struct reader_candidate {
-    std::string name;
-    std::string region;
+    std::string_view name;
+    std::string_view region;
 };
 
 /// Reads the accepted contracts from the table at those daemons that are chosen as readers: the two
@@ -35,7 +37,11 @@
     /// @param region the region.
     /// @return the names of at most two daemons, highest hash first.
     static std::vector<std::string> readers(const std::vector<reader_candidate>& live,
-                                            const std::string& region);
+                                            std::string_view region);
+
+    /// @return whether a second has passed since the last read. Saves the listing of all live
+    /// daemons when due() would return false anyway.
+    bool interval_passed() const;
 
     /// Decides whether this daemon reads the table now: a second has passed since the last read,
     /// and it is a reader or has no configuration yet.
--- a/src/configuration/configuration_store.h
+++ b/src/configuration/configuration_store.h
@@ -65,13 +65,13 @@
     contract_request digest_request() const;
 
 private:
-    bool put(std::shared_ptr<const contract> value, std::string body);
-
     struct held_body {
         std::uint64_t version = 0;
         std::string body; ///< Deflated.
     };
 
+    bool put(contract value, std::string body);
+
     change_hook m_changed;
     std::shared_ptr<const configuration_snapshot> m_snapshot;
     std::map<std::string, held_body> m_bodies;
--- a/src/membership/gossip_message.h
+++ b/src/membership/gossip_message.h
@@ -21,7 +21,8 @@
 };
 
 /// Copy of a service's row in table `ejections`. The text is opaque here. A higher row version
-/// replaces a lower one. Validity travels as remaining time, so that no wall clocks are compared.
+/// replaces a lower one. A row without text only announces its version. Validity travels as
+/// remaining time, so that no wall clocks are compared.
 struct ejection_row {
     service_id service;
     std::uint64_t row_version = 0;
@@ -78,6 +79,7 @@
     bool everything = false;
     std::vector<std::uint32_t> digest; ///< Sums of a bucket_digest; empty in the second step.
     std::vector<std::string> wanted;
+    std::vector<service_id> wanted_rows; ///< Services whose ejection rows are wanted.
     std::vector<member> pushed;
 };
 
@@ -86,6 +88,7 @@
     std::vector<member> members;
     std::vector<member_version>
         differing;                      ///< All that the answering daemon holds in these buckets.
+    std::uint32_t bucket_count = 0;     ///< Size of the compared digest; zero without one.
     std::vector<std::uint32_t> buckets; ///< Indices of the buckets that differ.
     std::vector<state_change> changes;  ///< Pushed members that the answering daemon knows as dead.
     std::vector<ejection_row> ejections;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -2,12 +2,22 @@
 
 #include "base/clock.h"
 #include "base/random_engine.h"
+#include "membership/address_ranges.h"
+#include "membership/ejection_table.h"
+#include "membership/failure_detector.h"
 #include "membership/gossip_message.h"
+#include "membership/member_exchange.h"
+#include "membership/member_table.h"
 #include "membership/membership_settings.h"
 #include "membership/membership_view.h"
+#include "membership/name_pool.h"
+#include "membership/own_record.h"
+#include "membership/update_queue.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,18 +43,20 @@
     member_request request;
 };
 
+class membership_builder;
+
 /// Members of the fleet and their announced upstreams as one daemon knows them: join, failure
 /// detection, dissemination, anti-entropy and departure. Not thread-safe: it belongs to the control
 /// thread. Call tick() at least every 100 ms and then send what take_*() returns.
 class membership {
 public:
-    class builder;
+    using builder = membership_builder;
 
     membership(const membership&) = delete;
     membership& operator=(const membership&) = delete;
     membership(membership&&) = delete;
     membership& operator=(membership&&) = delete;
-    ~membership();
+    ~membership() = default;
 
     /// Does all work that is due by the clock.
     void tick();
@@ -108,42 +120,69 @@
     std::vector<ejection_row> ejection_rows() const;
 
 private:
-    class state;
-
-    explicit membership(std::unique_ptr<state> initial);
-
-    std::unique_ptr<state> m_state;
-};
+    friend class membership_builder;
+
+    membership(const member_record& identity, membership_settings settings, membership_hooks hooks,
+               const clock& time, random_engine& engine);
+
+    /// Where an update came from.
+    struct origin {
+        std::string name;
+        std::string address;
+    };
+
+    bool is_self(const std::string& name) const;
+    state_change own_change() const;
+    int send_limit() const;
+    void send(const std::string& address, gossip_message message,
+              const std::vector<state_change>& directed = {});
+    void acknowledge(const gossip_message& ping);
+    void apply(const gossip_updates& updates, const origin& from);
+    void apply(const member& update, const origin& from, update_queue::urgency need);
+    void apply(const state_change& change, const origin& from);
+    void apply(const ejection_row& row, const origin& from);
+    void apply_own(const state_change& change, const origin& from);
+    void want(const std::string& name, const origin& from);
+    void request_comparison(const std::string& address);
+    void gossip_if_due(steady_time now);
+    void publish(update_queue::urgency need);
+    void detect(steady_time now);
+    void join(steady_time now);
+    void retry(steady_time now);
+    void retry_member(member_table::slot at);
+    void compare_with_random_member(steady_time now);
+    void rebuild_view();
 
-/// Collects the parts of a membership.
-class membership::builder {
-public:
-    /// @param name the instance's name, unique in the fleet.
-    builder& name(std::string name);
-    /// @param address IP number and port of this daemon's gRPC listener.
-    builder& peer_address(std::string address);
-    /// @param location where the instance stands.
-    builder& location(data_centre location);
-    /// @param values times, limits and join ranges.
-    builder& settings(membership_settings values);
-    /// @param values what to call on events.
-    builder& hooks(membership_hooks values);
-    /// @param source the clock; must outlive the membership.
-    builder& time(const clock& source);
-    /// @param engine the random engine; must outlive the membership.
-    builder& random(random_engine& engine);
-
-    /// @return the membership; its incarnation is taken from the clock now.
-    std::unique_ptr<membership> build();
-
-private:
-    std::string m_name;
-    std::string m_peer_address;
-    data_centre m_location;
     membership_settings m_settings;
     membership_hooks m_hooks;
-    const clock* m_clock = nullptr;
-    random_engine* m_random = nullptr;
+    const clock& m_clock;
+    random_engine& m_random;
+    name_pool m_names;
+    member_table m_members;
+    ejection_table m_ejections;
+    own_record m_own;
+    update_queue m_queue;
+    failure_detector m_detector;
+    member_exchange m_exchange;
+    address_ranges m_ranges;
+    std::vector<outgoing_gossip> m_gossip;
+    std::vector<outgoing_synchronise> m_synchronise;
+    std::set<std::string> m_own_suspicions;
+    std::map<std::string, steady_time> m_wanted_at;
+    std::vector<member_table::slot> m_rechecks;
+    std::shared_ptr<const membership_view> m_view;
+    std::uint64_t m_contracts_fingerprint = 0;
+    steady_time m_started;
+    steady_time m_last_tick;
+    steady_time m_last_gossip;
+    steady_time m_last_extra_comparison;
+    steady_time m_next_join;
+    steady_time m_next_retry;
+    steady_time m_next_probe;
+    steady_time m_next_comparison;
+    bool m_view_changed = true;
+    bool m_joined = false;
+    bool m_superseded = false;
 };
 
 } // namespace galenaroad
--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -24,12 +24,13 @@
     int indirect_pings = 3;
     std::chrono::milliseconds suspicion{3000};
     std::chrono::milliseconds gossip_interval{
-        200}; ///< Between update messages while news is fresh.
+        200};                                     ///< Between update messages while news is fresh.
+    std::chrono::milliseconds gossip_spacing{50}; ///< Least time between update messages.
     int gossip_fanout = 3;
     double local_share = 0.75; ///< Share of update messages that stay in the sender's region.
     double sends_per_log2 = 3; ///< Greatest number of sends of an update, times log2(members).
     std::size_t update_budget_bytes = 1200;
-    std::chrono::milliseconds publish_interval{500}; ///< Least time between own announcements.
+    std::chrono::milliseconds publish_interval{1000}; ///< Least time between own announcements.
     std::chrono::milliseconds announcement_expiry{6000};
     std::chrono::milliseconds join_interval{200};
     std::chrono::milliseconds early_probe_interval{1000}; ///< Of join ranges, in the first 30 s.
--- a/src/model/bucket_digest.h
+++ b/src/model/bucket_digest.h
@@ -29,8 +29,9 @@
     void add(std::string_view key, std::uint64_t content);
 
     /// @param key an entry's key.
-    /// @return the index of its bucket.
-    std::size_t bucket_of(std::string_view key) const;
+    /// @param buckets the number of buckets; not zero.
+    /// @return the index of the key's bucket.
+    static std::size_t bucket_of(std::string_view key, std::size_t buckets);
 
     /// Compares with a digest of the same number of buckets.
     /// @param other the other digest.
--- a/src/model/contract_version.h
+++ b/src/model/contract_version.h
@@ -32,8 +32,10 @@
 
 /// Answer to a contract_request.
 struct contract_response {
+    bool everything = false; ///< Answers a request for everything.
     std::vector<contract_record> contracts;
     std::vector<contract_head> differing;
+    std::uint32_t bucket_count = 0; ///< Size of the compared digest; zero without one.
     std::vector<std::uint32_t> buckets;
     /// Whether the answering daemon itself is ready. After a restart of the whole fleet, peers that
     /// hold nothing must not make each other ready.
