--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random_engine.h"
+#include "membership/address_ranges.h"
+#include "membership/ejection_table.h"
+#include "membership/failure_detector.h"
+#include "membership/gossip_message.h"
+#include "membership/member_exchange.h"
+#include "membership/member_table.h"
+#include "membership/membership_settings.h"
+#include "membership/membership_view.h"
+#include "membership/name_pool.h"
+#include "membership/own_record.h"
+#include "membership/update_queue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// What membership reports. All hooks run on the control thread and may be empty.
+struct membership_hooks {
+    /// The view was replaced. The new one is passed.
+    std::function<void(const std::shared_ptr<const membership_view>&)> changed;
+    /// A peer holds this contract version; the address is the peer's.
+    std::function<void(const contract_head&, const std::string&)> contract_head_received;
+    /// A peer's set of contracts differs from the fingerprint; the address is the peer's.
+    std::function<void(const std::string&)> contracts_differ;
+    /// A row copy with a higher version arrived; `remaining` is its validity from now.
+    std::function<void(const ejection_row&)> ejection_row_received;
+    /// The member answers others but not this daemon (false), or answers this daemon again (true).
+    std::function<void(const std::string&, bool)> link_reported;
+};
+
+/// An exchange of members that the caller has to carry out with the daemon at an address.
+struct outgoing_synchronise {
+    std::string address;
+    member_request request;
+};
+
+class membership_builder;
+
+/// Members of the fleet and their announced upstreams as one daemon knows them: join, failure
+/// detection, dissemination, anti-entropy and departure. Not thread-safe: it belongs to the control
+/// thread. Call tick() at least every 100 ms and then send what take_*() returns.
+class membership {
+public:
+    using builder = membership_builder;
+
+    membership(const membership&) = delete;
+    membership& operator=(const membership&) = delete;
+    membership(membership&&) = delete;
+    membership& operator=(membership&&) = delete;
+    ~membership() = default;
+
+    /// Does all work that is due by the clock.
+    void tick();
+
+    /// Handles a gossip message from a peer.
+    /// @param message the message.
+    void receive(const gossip_message& message);
+
+    /// Announces or renews an upstream of this instance. It expires unless renewed.
+    /// @param announced the upstream; the instance in its id is ignored.
+    void announce(const upstream& announced);
+
+    /// Withdraws an upstream of this instance, at once.
+    /// @param name the upstream's name.
+    void withdraw(const std::string& name);
+
+    /// Marks this instance as leaving and tells peers at once.
+    void leave();
+
+    /// Passes on that this daemon holds a contract version.
+    /// @param head the version.
+    void broadcast(const contract_head& head);
+
+    /// Passes on a row of table `ejections`. Lower or equal versions are ignored.
+    /// @param row the row, with its validity from now.
+    void broadcast(const ejection_row& row);
+
+    /// Sets the hash of all contract heads held, which pings carry so that peers notice a miss.
+    /// @param fingerprint the hash; see configuration_store::fingerprint().
+    void set_contracts_fingerprint(std::uint64_t fingerprint);
+
+    /// @return gossip messages to send; each is returned once.
+    std::vector<outgoing_gossip> take_gossip();
+
+    /// @return exchanges to carry out; each is returned once.
+    std::vector<outgoing_synchronise> take_synchronise();
+
+    /// Answers a peer's exchange.
+    /// @param request the peer's request.
+    /// @return the response.
+    member_response answer(const member_request& request);
+
+    /// Merges the response to an exchange that this daemon asked for.
+    /// @param address the address that answered.
+    /// @param response the response.
+    void merge(const std::string& address, const member_response& response);
+
+    /// @return whether a peer has answered an exchange since the start.
+    bool joined() const;
+
+    /// @return whether a daemon with the same name and a higher incarnation was seen after joining.
+    bool superseded() const;
+
+    /// @return this daemon's incarnation. It can rise until joined() and never afterwards.
+    std::uint64_t incarnation() const;
+
+    /// @return the current snapshot; the same pointer until something changes.
+    std::shared_ptr<const membership_view> view() const;
+
+    /// @return the valid ejection rows, each with its remaining validity.
+    std::vector<ejection_row> ejection_rows() const;
+
+private:
+    friend class membership_builder;
+
+    membership(const member_record& identity, membership_settings settings, membership_hooks hooks,
+               const clock& time, random_engine& engine);
+
+    /// Where an update came from.
+    struct origin {
+        std::string name;
+        std::string address;
+    };
+
+    bool is_self(const std::string& name) const;
+    state_change own_change() const;
+    int send_limit() const;
+    void send(const std::string& address, gossip_message message,
+              const std::vector<state_change>& directed = {});
+    void acknowledge(const gossip_message& ping);
+    void apply(const gossip_updates& updates, const origin& from);
+    void apply(const member& update, const origin& from, update_queue::urgency need);
+    void apply(const state_change& change, const origin& from);
+    void apply(const ejection_row& row, const origin& from);
+    void apply_own(const state_change& change, const origin& from);
+    void want(const std::string& name, const origin& from);
+    void request_comparison(const std::string& address);
+    void gossip_if_due(steady_time now);
+    void publish(update_queue::urgency need);
+    void detect(steady_time now);
+    void join(steady_time now);
+    void retry(steady_time now);
+    void retry_member(member_table::slot at);
+    void compare_with_random_member(steady_time now);
+    void rebuild_view();
+
+    membership_settings m_settings;
+    membership_hooks m_hooks;
+    const clock& m_clock;
+    random_engine& m_random;
+    name_pool m_names;
+    member_table m_members;
+    ejection_table m_ejections;
+    own_record m_own;
+    update_queue m_queue;
+    failure_detector m_detector;
+    member_exchange m_exchange;
+    address_ranges m_ranges;
+    std::vector<outgoing_gossip> m_gossip;
+    std::vector<outgoing_synchronise> m_synchronise;
+    std::set<std::string> m_own_suspicions;
+    std::map<std::string, steady_time> m_wanted_at;
+    std::vector<member_table::slot> m_rechecks;
+    std::shared_ptr<const membership_view> m_view;
+    std::uint64_t m_contracts_fingerprint = 0;
+    steady_time m_started;
+    steady_time m_last_tick;
+    steady_time m_last_gossip;
+    steady_time m_last_extra_comparison;
+    steady_time m_next_join;
+    steady_time m_next_retry;
+    steady_time m_next_probe;
+    steady_time m_next_comparison;
+    bool m_view_changed = true;
+    bool m_joined = false;
+    bool m_superseded = false;
+};
+
+} // namespace galenaroad
