--- a/src/membership/ejection_table.cpp
+++ b/src/membership/ejection_table.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-bool ejection_table::merge(const ejection_row& row, steady_time now)
+bool ejection_table::merge(const ejection_row_copy& row, steady_time now)
 {
     auto& held = m_rows[row.service];
     if (row.row_version <= held.version) {
@@ -27,7 +27,7 @@
     return true;
 }
 
-std::optional<ejection_row> ejection_table::find(const service_id& id, steady_time now) const
+std::optional<ejection_row_copy> ejection_table::find(const service_id& id, steady_time now) const
 {
     const auto found = m_rows.find(id);
     if (found == m_rows.end() || found->second.expires <= now) {
@@ -36,12 +36,12 @@
     const auto& held = found->second;
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(held.expires - now);
-    return ejection_row{id, held.version, held.row, remaining};
+    return ejection_row_copy{id, held.version, held.row, remaining};
 }
 
-std::vector<ejection_row> ejection_table::rows(steady_time now) const
+std::vector<ejection_row_copy> ejection_table::rows(steady_time now) const
 {
-    std::vector<ejection_row> valid;
+    std::vector<ejection_row_copy> valid;
     for (const auto& each : m_rows) {
         if (auto row = find(each.first, now)) {
             valid.push_back(std::move(*row));
--- a/src/membership/ejection_table.h
+++ b/src/membership/ejection_table.h
@@ -17,16 +17,16 @@
     /// @param row the row, with its validity from now.
     /// @param now the time.
     /// @return whether it was kept.
-    bool merge(const ejection_row& row, steady_time now);
+    bool merge(const ejection_row_copy& row, steady_time now);
 
     /// @param id a service.
     /// @param now the time.
     /// @return its row with the validity that remains, or nothing.
-    std::optional<ejection_row> find(const service_id& id, steady_time now) const;
+    std::optional<ejection_row_copy> find(const service_id& id, steady_time now) const;
 
     /// @param now the time.
     /// @return all valid rows.
-    std::vector<ejection_row> rows(steady_time now) const;
+    std::vector<ejection_row_copy> rows(steady_time now) const;
 
     /// @param id a service.
     /// @return the highest row version received, or zero.
--- a/src/membership/encoded_size.cpp
+++ b/src/membership/encoded_size.cpp
@@ -44,7 +44,7 @@
     return length_bound + text(head.business) + varint_bound;
 }
 
-std::size_t encoded_bound(const ejection_row& row)
+std::size_t encoded_bound(const ejection_row_copy& row)
 {
     return length_bound + text(row.service.business) + text(row.service.service) + text(row.row) +
            2 * varint_bound;
--- a/src/membership/encoded_size.h
+++ b/src/membership/encoded_size.h
@@ -19,6 +19,6 @@
 std::size_t encoded_bound(const contract_head& head);
 
 /// @param row an ejection row.
-std::size_t encoded_bound(const ejection_row& row);
+std::size_t encoded_bound(const ejection_row_copy& row);
 
 } // namespace galenaroad
--- a/src/membership/gossip_message.h
+++ b/src/membership/gossip_message.h
@@ -23,7 +23,7 @@
 /// Copy of a service's row in table `ejections`. The text is opaque here. A higher row version
 /// replaces a lower one. A row without text only announces its version. Validity travels as
 /// remaining time, so that no wall clocks are compared.
-struct ejection_row {
+struct ejection_row_copy {
     service_id service;
     std::uint64_t row_version = 0;
     std::string row;
@@ -35,7 +35,7 @@
     std::vector<member> members;
     std::vector<state_change> changes;
     std::vector<contract_head> contracts;
-    std::vector<ejection_row> ejections;
+    std::vector<ejection_row_copy> ejections;
 };
 
 /// Kind of a gossip message.
@@ -91,7 +91,7 @@
     std::uint32_t bucket_count = 0;     ///< Size of the compared digest; zero without one.
     std::vector<std::uint32_t> buckets; ///< Indices of the buckets that differ.
     std::vector<state_change> changes;  ///< Pushed members that the answering daemon knows as dead.
-    std::vector<ejection_row> ejections;
+    std::vector<ejection_row_copy> ejections;
 };
 
 } // namespace galenaroad
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -232,7 +232,7 @@
     }
 }
 
-void membership::apply(const ejection_row& row, const origin& from)
+void membership::apply(const ejection_row_copy& row, const origin& from)
 {
     const auto now = m_clock.steady_now();
     if (row.row.empty()) {
@@ -342,7 +342,7 @@
     gossip_if_due(m_clock.steady_now());
 }
 
-void membership::broadcast(const ejection_row& row)
+void membership::broadcast(const ejection_row_copy& row)
 {
     if (m_ejections.merge(row, m_clock.steady_now())) {
         m_queue.push(row.service);
@@ -385,7 +385,7 @@
     return m_view;
 }
 
-std::vector<ejection_row> membership::ejection_rows() const
+std::vector<ejection_row_copy> membership::ejection_rows() const
 {
     return m_ejections.rows(m_clock.steady_now());
 }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -32,7 +32,7 @@
     /// A peer's set of contracts differs from the fingerprint; the address is the peer's.
     std::function<void(const std::string&)> contracts_differ;
     /// A row copy with a higher version arrived; `remaining` is its validity from now.
-    std::function<void(const ejection_row&)> ejection_row_received;
+    std::function<void(const ejection_row_copy&)> ejection_row_received;
     /// The member answers others but not this daemon (false), or answers this daemon again (true).
     std::function<void(const std::string&, bool)> link_reported;
 };
@@ -82,7 +82,7 @@
 
     /// Passes on a row of table `ejections`. Lower or equal versions are ignored.
     /// @param row the row, with its validity from now.
-    void broadcast(const ejection_row& row);
+    void broadcast(const ejection_row_copy& row);
 
     /// Sets the hash of all contract heads held, which pings carry so that peers notice a miss.
     /// @param fingerprint the hash; see configuration_store::fingerprint().
@@ -117,7 +117,7 @@
     std::shared_ptr<const membership_view> view() const;
 
     /// @return the valid ejection rows, each with its remaining validity.
-    std::vector<ejection_row> ejection_rows() const;
+    std::vector<ejection_row_copy> ejection_rows() const;
 
 private:
     friend class membership_builder;
@@ -140,7 +140,7 @@
     void apply(const gossip_updates& updates, const origin& from);
     void apply(const member& update, const origin& from, update_queue::urgency need);
     void apply(const state_change& change, const origin& from);
-    void apply(const ejection_row& row, const origin& from);
+    void apply(const ejection_row_copy& row, const origin& from);
     void apply_own(const state_change& change, const origin& from);
     void want(const std::string& name, const origin& from);
     void request_comparison(const std::string& address);
--- a/src/peer/record_codec.cpp
+++ b/src/peer/record_codec.cpp
@@ -78,7 +78,7 @@
     wire.set_version(head.version);
 }
 
-void encode_record(const ejection_row& row, peer::EjectionRecord& wire)
+void encode_record(const ejection_row_copy& row, peer::EjectionRecord& wire)
 {
     wire.set_business(row.service.business);
     wire.set_service(row.service.service);
@@ -129,7 +129,7 @@
     return {wire.business(), wire.version()};
 }
 
-ejection_row decode_record(const peer::EjectionRecord& wire)
+ejection_row_copy decode_record(const peer::EjectionRecord& wire)
 {
     return {{wire.business(), wire.service()},
             wire.row_version(),
--- a/src/peer/record_codec.h
+++ b/src/peer/record_codec.h
@@ -29,7 +29,7 @@
 void encode_record(const contract_head& head, peer::ContractHead& wire);
 /// @param row an ejection row.
 /// @param wire set to its protobuf form.
-void encode_record(const ejection_row& row, peer::EjectionRecord& wire);
+void encode_record(const ejection_row_copy& row, peer::EjectionRecord& wire);
 
 /// @return the member, or nothing when it has no name.
 std::optional<member> decode_record(const peer::MemberRecord& wire, name_pool& names);
@@ -38,6 +38,6 @@
 /// @return the contract version.
 contract_head decode_record(const peer::ContractHead& wire);
 /// @return the row.
-ejection_row decode_record(const peer::EjectionRecord& wire);
+ejection_row_copy decode_record(const peer::EjectionRecord& wire);
 
 } // namespace galenaroad
