--- a/src/experiment/control_daemon.cpp
+++ b/src/experiment/control_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/membership_builder.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace galenaroad {
@@ -100,6 +101,14 @@
     read_table_if_due();
 }
 
+void control_daemon::withdraw(const std::string& upstream_name)
+{
+    auto& all = m_identity.upstreams;
+    const auto named = [&](const upstream& each) { return each.id.name == upstream_name; };
+    all.erase(std::remove_if(all.begin(), all.end(), named), all.end());
+    m_members->withdraw(upstream_name);
+}
+
 void control_daemon::leave()
 {
     m_leaving = true;
--- a/src/experiment/control_daemon.h
+++ b/src/experiment/control_daemon.h
@@ -45,6 +45,10 @@
     /// Stops renewing announcements and leaves.
     void leave();
 
+    /// Withdraws an upstream and stops renewing it.
+    /// @param upstream_name the upstream.
+    void withdraw(const std::string& upstream_name);
+
     /// @return the membership.
     membership& members() { return *m_members; }
     const membership& members() const { return *m_members; }
