--- a/src/action/action_ledger.cpp
+++ b/src/action/action_ledger.cpp
@@ -31,9 +31,12 @@
     return outcome;
 }
 
-bool is_settled(const action_row& row, settlement_kind kind)
+bool is_settled(const action_row& row, const settlement& entry)
 {
-    switch (kind) {
+    if (row.attempt_id != entry.claim.attempt_id) {
+        return false;
+    }
+    switch (entry.kind) {
     case settlement_kind::release:
         return row.state == action_state::released;
     case settlement_kind::complete:
@@ -44,15 +47,13 @@
     return row.state != action_state::claimed || row.outcome_unknown;
 }
 
-// True when the row is beyond the settlement: nothing is left to write, and a write of the
-// attempt that is still under way cannot match the row any more. A released row of an earlier
-// attempt is not: the claim that replaces it may still arrive, so it is written once more.
+// True when another attempt holds the row: nothing is left to write, and a write of this attempt
+// that is still under way cannot match the row any more. A row that an earlier attempt released is
+// no such row: the claim that replaces it may still arrive, so it is released once more.
 bool is_superseded(const action_row& row, const settlement& entry)
 {
-    if (row.attempt_id == entry.claim.attempt_id) {
-        return is_settled(row, entry.kind);
-    }
-    return row.state != action_state::released || entry.kind != settlement_kind::release;
+    return row.attempt_id != entry.claim.attempt_id &&
+           (row.state != action_state::released || entry.kind != settlement_kind::release);
 }
 
 } // namespace
@@ -127,7 +128,7 @@
             break;
         }
         const auto outcome = try_settle(*entry);
-        if (outcome == settle_outcome::done) {
+        if (is_final(outcome)) {
             ++confirmed;
             continue;
         }
@@ -191,26 +192,34 @@
 
 action_ledger::judgement action_ledger::judge_own_pending(settlement entry)
 {
-    if (entry.kind == settlement_kind::release && try_settle(entry) == settle_outcome::done) {
-        return {true, entry.claim.tag, {}};
+    if (entry.kind == settlement_kind::release) {
+        return judge_own_release(std::move(entry));
     }
     judgement judged;
-    switch (entry.kind) {
-    case settlement_kind::release:
-        judged.outcome.kind = claim_kind::store_unavailable;
-        break;
-    case settlement_kind::complete:
-        judged.outcome.kind = claim_kind::recorded;
-        judged.outcome.response = entry.response;
-        break;
-    case settlement_kind::unknown:
-        judged.outcome.kind = claim_kind::outcome_unknown;
-        break;
+    if (entry.kind == settlement_kind::complete) {
+        judged.outcome = {claim_kind::recorded, {}, entry.response};
+    }
+    else {
+        judged.outcome = outcome_of(claim_kind::outcome_unknown);
     }
     m_pending.push(std::move(entry));
     return judged;
 }
 
+action_ledger::judgement action_ledger::judge_own_release(settlement entry)
+{
+    const auto outcome = try_settle(entry);
+    if (outcome == settle_outcome::done) {
+        return {true, entry.claim.tag, {}};
+    }
+    // Once the release is applied, another daemon may claim the key before this one reads the row
+    // again. The row then holds the other claim, which must not be replaced.
+    if (!is_final(outcome)) {
+        m_pending.push(std::move(entry));
+    }
+    return {false, {}, outcome_of(claim_kind::store_unavailable)};
+}
+
 claim_outcome action_ledger::replay(const action_row& row)
 {
     claim_outcome outcome{claim_kind::recorded, {}, row.response};
@@ -243,9 +252,14 @@
     return outcome_of(claim_kind::store_unavailable);
 }
 
+bool action_ledger::is_final(settle_outcome outcome)
+{
+    return outcome == settle_outcome::done || outcome == settle_outcome::superseded;
+}
+
 bool action_ledger::settle(settlement entry)
 {
-    if (try_settle(entry) == settle_outcome::done) {
+    if (is_final(try_settle(entry))) {
         return true;
     }
     m_pending.push(std::move(entry));
@@ -269,6 +283,9 @@
             entry.claim.tag = current->tag;
             const auto found = action_row::from_json(current->value);
             if (!current->tag.empty() && (!found || is_superseded(*found, entry))) {
+                return settle_outcome::superseded;
+            }
+            if (found && is_settled(*found, entry)) {
                 return settle_outcome::done;
             }
         }
--- a/src/action/action_ledger.h
+++ b/src/action/action_ledger.h
@@ -103,7 +103,12 @@
     std::size_t pending() const { return m_pending.size(); }
 
 private:
-    enum class settle_outcome { done, unconfirmed, store_unavailable };
+    enum class settle_outcome {
+        done,       ///< The row shows the settlement.
+        superseded, ///< The row has moved on; nothing is left to write.
+        unconfirmed,
+        store_unavailable,
+    };
 
     struct claim_try {
         action_claim claim;
@@ -120,10 +125,12 @@
     judgement judge(const table_row& row, const action_claim& claim);
     judgement judge_claimed(const action_row& row);
     judgement judge_own_pending(settlement entry);
+    judgement judge_own_release(settlement entry);
     claim_outcome replay(const action_row& row);
     static bool may_have_lost(claim_try& tried, const std::error_code& error);
     claim_outcome give_up(const claim_try& tried);
     bool settle(settlement entry);
+    static bool is_final(settle_outcome outcome);
     settle_outcome try_settle(settlement& entry);
     result<std::string> store_body(const settlement& entry);
     action_row claimed_row(const action_claim& claim) const;
--- a/src/tests/action_ledger_test.cpp
+++ b/src/tests/action_ledger_test.cpp
@@ -127,6 +127,31 @@
     CHECK(f.a.pending_releases() == 0);
 }
 
+TEST_CASE("action_ledger: a release gives no right to another daemon's claim", "[action]")
+{
+    // Guards against a daemon that replaces a claim which another daemon made between the release,
+    // whose response was lost, and the reading of the row. It led to a second start.
+    ledger_fixture f;
+    f.lose_everything();
+    CHECK(f.a.claim(f.request()).kind == claim_kind::store_unavailable);
+    auto claimed_by_b = claim_kind::store_unavailable;
+    bool released = false;
+    store_faults faults;
+    faults.lose_response = [&](const store_call& call) {
+        if (call.operation != store_operation::update || released) {
+            return false;
+        }
+        released = true;
+        claimed_by_b = f.b.claim(f.request()).kind;
+        return true;
+    };
+    f.tables.inject(faults);
+    CHECK(f.a.claim(f.request()).kind == claim_kind::store_unavailable);
+    CHECK(claimed_by_b == claim_kind::won);
+    CHECK(f.a.claim(f.request()).kind == claim_kind::in_progress);
+    CHECK(f.a.pending() == 0);
+}
+
 TEST_CASE("action_ledger: a late claim cannot follow its release", "[action]")
 {
     // Guards against a claim write that arrives after the daemon has found no row and given up.
