--- a/src/tests/action_gate_test.cpp
+++ b/src/tests/action_gate_test.cpp
@@ -95,6 +95,18 @@
     CHECK(f.decide("gr1.nonsense").error == error_kind::invalid_request);
 }
 
+TEST_CASE("action_gate: an unknown outcome never starts again", "[action]")
+{
+    // Guards against a retry without proof, by either kind of key.
+    gate_fixture f;
+    for (const auto& key : {std::string("k"), *f.issued.issue()}) {
+        const auto run = f.decide(key);
+        REQUIRE(run.step == action_step::run);
+        f.gate.outcome_unknown(run.ticket);
+        CHECK(f.decide(key).error == error_kind::outcome_unknown);
+    }
+}
+
 TEST_CASE("action_gate: a claim that is won after the deadline is given back", "[action]")
 {
     // Guards against a dispatch after the caller has been told that the deadline passed.
--- a/src/tests/action_ledger_test.cpp
+++ b/src/tests/action_ledger_test.cpp
@@ -3,6 +3,7 @@
 #include "base/manual_clock.h"
 #include "platform/memory_object_store.h"
 #include "platform/memory_table_service.h"
+#include "tests/support/unreliable_table_service.h"
 
 #include <catch2/catch.hpp>
 
@@ -166,6 +167,32 @@
     CHECK(f.b.claim(f.request()).kind == claim_kind::won);
 }
 
+TEST_CASE("action_ledger: a late claim of a released key cannot follow its release", "[action]")
+{
+    // Guards against a claim by update that arrives late and still matches the released row's tag.
+    ledger_fixture f;
+    REQUIRE(f.b.release(f.b.claim(f.request()).claim, not_run_proof::fenced));
+    late_effects late;
+    random_engine random(1);
+    store_fault_shares shares;
+    bool planted = false;
+    unreliable_table_service slow({f.tables, late, random, shares, planted, [] {}});
+    action_ledger ledger(slow, f.objects, f.time, f.attempts_a, f.alive());
+    shares.late_effect = 1;
+    store_faults faults;
+    faults.fail_before_effect = [&](const store_call&) { return late.size() == 2; };
+    f.tables.inject(faults);
+    CHECK(ledger.claim(f.request()).kind == claim_kind::store_unavailable);
+    REQUIRE(ledger.pending_releases() == 1);
+    shares.late_effect = 0;
+    f.tables.inject({});
+    CHECK(ledger.retry_pending(1) == 1);
+    for (const auto& effect : late) {
+        effect();
+    }
+    CHECK(f.b.claim(f.request()).kind == claim_kind::won);
+}
+
 TEST_CASE("action_ledger: an unconfirmed response is recorded later", "[action]")
 {
     // Guards against completed actions that callers can no longer ask for.
