Add the reader of the planners' sheet and its merge into a contract

Cause: planners drive floors, policies and greatest timeouts by a CSV file that they export every morning; a bad file must change nothing. Ruled out: accepting the good rows of a faulty sheet, and taking a duplicate row's last value. libcsv reports no places, so it is fed one character at a time. Names may have letters outside ASCII. Conclusion: a sheet is accepted whole or refused whole.

--- a/src/settings/contract_loader.cpp
+++ b/src/settings/contract_loader.cpp
@@ -5,7 +5,7 @@
 #include "settings/yaml_section.h"
 
 #include <algorithm>
-#include <regex>
+#include <cctype>
 #include <set>
 
 namespace galenaroad {
@@ -14,6 +14,7 @@
 
 constexpr number_range slots_range{0, 1'000'000};
 constexpr number_range timeout_range_ms{1, 3'600'000};
+constexpr std::size_t max_name_bytes = 63;
 constexpr number_range body_range_bytes{0, 1LL << 40};
 
 /// Where each route stands, for checks that need the whole declaration.
@@ -22,12 +23,19 @@
     std::vector<YAML::Mark> services;
 };
 
+bool is_name_character(char character)
+{
+    const auto byte = static_cast<unsigned char>(character);
+    // Bytes from 0x80 are parts of letters outside ASCII, which names may have.
+    return std::islower(byte) != 0 || std::isdigit(byte) != 0 || byte >= 0x80U || byte == '-';
+}
+
 std::string name_fault(const std::string& text)
 {
-    static const std::regex pattern("[a-z][a-z0-9-]{0,62}");
-    return std::regex_match(text, pattern)
-               ? std::string()
-               : "must be 1 to 63 lower-case letters, digits and hyphens";
+    const bool is_name = text.size() <= max_name_bytes && text.front() != '-' &&
+                         std::all_of(text.begin(), text.end(), is_name_character);
+    return is_name ? std::string()
+                   : "must be 1 to 63 bytes of lower-case letters, digits and hyphens";
 }
 
 std::string prefix_fault(const std::string& text)
--- /dev/null
+++ b/src/settings/csv_reader.cpp
@@ -0,0 +1,143 @@
+#include "settings/csv_reader.h"
+
+#include <Poco/UTF8Encoding.h>
+#include <csv.h>
+#include <memory>
+#include <string_view>
+
+namespace galenaroad {
+
+namespace {
+
+constexpr std::string_view byte_order_mark = "\xef\xbb\xbf";
+constexpr unsigned char delimiter = ';';
+
+/// Line and column of the next character.
+struct text_place {
+    int line = 1;
+    int column = 1;
+
+    bool operator==(const text_place& other) const
+    {
+        return line == other.line && column == other.column;
+    }
+
+    void advance(char character)
+    {
+        if (character == '\n') {
+            ++line;
+            column = 1;
+            return;
+        }
+        // Bytes 10xxxxxx continue a character.
+        const bool continues = (static_cast<unsigned char>(character) & 0xc0U) == 0x80U;
+        column += continues ? 0 : 1;
+    }
+};
+
+std::vector<source_error> encoding_faults(const std::string& file, std::string_view text)
+{
+    std::vector<source_error> errors;
+    const Poco::UTF8Encoding encoding;
+    text_place place;
+    while (!text.empty()) {
+        const auto* const bytes = reinterpret_cast<const unsigned char*>(text.data());
+        const int length = encoding.sequenceLength(bytes, 1);
+        const bool is_whole = length > 0 && static_cast<std::size_t>(length) <= text.size();
+        const bool is_legal = is_whole && Poco::UTF8Encoding::isLegal(bytes, length);
+        if (!is_legal) {
+            errors.push_back({file, place.line, place.column, "the text is not UTF-8"});
+        }
+        const std::size_t step = is_legal ? static_cast<std::size_t>(length) : 1;
+        place.advance(is_legal ? text.front() : ' ');
+        text.remove_prefix(step);
+    }
+    return errors;
+}
+
+/// Rows being read by libcsv's callbacks.
+struct row_collector {
+    std::vector<csv_row> rows;
+    csv_row current;
+    text_place field_start;
+    text_place next;
+
+    static void on_field(void* text, std::size_t size, void* self)
+    {
+        auto& collector = *static_cast<row_collector*>(self);
+        const std::string value(text == nullptr ? "" : static_cast<const char*>(text), size);
+        collector.current.push_back(
+            {value, collector.field_start.line, collector.field_start.column});
+        collector.field_start = collector.next;
+    }
+
+    static void on_row(int /*terminator*/, void* self)
+    {
+        auto& collector = *static_cast<row_collector*>(self);
+        collector.rows.push_back(std::move(collector.current));
+        collector.current.clear();
+        collector.field_start = collector.next;
+    }
+};
+
+struct parser_deleter {
+    void operator()(csv_parser* parser) const
+    {
+        csv_free(parser);
+        delete parser;
+    }
+};
+
+using parser_pointer = std::unique_ptr<csv_parser, parser_deleter>;
+
+parser_pointer make_parser()
+{
+    parser_pointer parser(new csv_parser);
+    csv_init(parser.get(), CSV_STRICT | CSV_STRICT_FINI);
+    csv_set_delim(parser.get(), delimiter);
+    return parser;
+}
+
+std::vector<source_error> fault_at(const std::string& file, const text_place& place,
+                                   csv_parser* parser)
+{
+    const std::string reason = csv_strerror(csv_error(parser));
+    return {{file, place.line, place.column, "the quoting is broken: " + reason}};
+}
+
+} // namespace
+
+load_result<std::vector<csv_row>> csv_reader::read(const std::string& file, const std::string& text)
+{
+    std::string_view rest = text;
+    if (rest.substr(0, byte_order_mark.size()) == byte_order_mark) {
+        rest.remove_prefix(byte_order_mark.size());
+    }
+    auto errors = encoding_faults(file, rest);
+    if (!errors.empty()) {
+        return tl::make_unexpected(std::move(errors));
+    }
+    const auto parser = make_parser();
+    row_collector collector;
+    // One character at a time, because libcsv reports no places.
+    for (const char character : rest) {
+        const auto here = collector.next;
+        collector.next.advance(character);
+        // Line breaks between rows, as after the carriage return of CR LF, start no field.
+        const bool is_between_rows = collector.current.empty() && here == collector.field_start &&
+                                     (character == '\n' || character == '\r');
+        if (is_between_rows) {
+            collector.field_start = collector.next;
+        }
+        if (csv_parse(parser.get(), &character, 1, row_collector::on_field, row_collector::on_row,
+                      &collector) != 1) {
+            return tl::make_unexpected(fault_at(file, here, parser.get()));
+        }
+    }
+    if (csv_fini(parser.get(), row_collector::on_field, row_collector::on_row, &collector) != 0) {
+        return tl::make_unexpected(fault_at(file, collector.field_start, parser.get()));
+    }
+    return std::move(collector.rows);
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/settings/sheet_merge.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "model/contract.h"
+#include "settings/sheet.h"
+#include "settings/source_error.h"
+
+namespace galenaroad {
+
+/// Outcome of merging a sheet into a contract.
+struct merged_contract {
+    contract next; ///< Content of the next version; version and writer are those of the base.
+    bool changed = false; ///< False when the sheet in force was submitted again.
+};
+
+/// Combines the contract of a business with its planners' sheet.
+///
+/// The sheet is authoritative for the floors and policies of all services. Its greatest timeout
+/// only lowers the timeouts of routes; apply declaration and sheet together to raise one.
+class sheet_merge {
+public:
+    /// Applies a sheet to a contract.
+    /// @param base the contract in force, or a new declaration with the sheet date in force.
+    /// @param planned the sheet.
+    /// @return the next contract, or all faults: another business, unknown or missing services, or
+    /// a date that is not newer than the one in force.
+    static load_result<merged_contract> apply(const contract& base, const sheet& planned);
+
+    /// Keeps what the sheet in force says while a new declaration is applied.
+    /// @param current the contract in force.
+    /// @param declared the new declaration.
+    /// @return the declaration with the floors, policies and lowered timeouts of the sheet in
+    /// force, or as it is when no sheet is in force.
+    static contract keep_sheet(const contract& current, contract declared);
+};
+
+} // namespace galenaroad
