--- a/src/settings/sheet_merge.cpp
+++ b/src/settings/sheet_merge.cpp
@@ -68,38 +68,71 @@
     return errors;
 }
 
-} // namespace
+/// Tells whether a sheet asks for nothing but what is in force.
+bool agrees(const contract& current, const sheet& planned)
+{
+    return std::all_of(planned.rows.begin(), planned.rows.end(), [&](const sheet_row& row) {
+        const auto is_in_force = [&](const service& entry) {
+            return entry.name == row.service && entry.floor_slots == row.floor_slots &&
+                   entry.policy == row.policy;
+        };
+        const auto is_late = [&](const route& entry) {
+            return entry.service == row.service && entry.timeout > row.max_timeout;
+        };
+        return std::any_of(current.services.begin(), current.services.end(), is_in_force) &&
+               std::none_of(current.routes.begin(), current.routes.end(), is_late);
+    });
+}
 
-load_result<merged_contract> sheet_merge::apply(const contract& base, const sheet& planned)
+std::vector<source_error> check_sheet(const contract& current, const contract& declared,
+                                      const sheet& planned)
 {
     constexpr int first_row_line = 2;
-    if (planned.business != base.business) {
-        return tl::make_unexpected(
-            std::vector<source_error>{{planned.file, first_row_line, 1,
-                                       "the sheet is for the business \"" + planned.business +
-                                           "\", not for \"" + base.business + '"'}});
+    const auto fault = [&](const std::string& message) {
+        return std::vector<source_error>{{planned.file, first_row_line, 1, message}};
+    };
+    if (planned.business != declared.business) {
+        return fault("the sheet is for the business \"" + planned.business + "\", not for \"" +
+                     declared.business + '"');
+    }
+    auto errors = check_services(declared, planned);
+    if (!errors.empty()) {
+        return errors;
     }
-    auto errors = check_services(base, planned);
+    // Dates written as YYYY-MM-DD sort as text.
+    const bool is_newer = planned.date > current.sheet_date;
+    const bool is_same = planned.date == current.sheet_date && agrees(current, planned);
+    if (!is_newer && !is_same) {
+        return fault("the date " + planned.date +
+                     " is not newer than that of the sheet in force, " + current.sheet_date +
+                     ", and the content differs");
+    }
+    return {};
+}
+
+} // namespace
+
+load_result<merged_contract> sheet_merge::apply(const contract& current, const sheet& planned)
+{
+    return apply(current, current, planned);
+}
+
+load_result<merged_contract> sheet_merge::apply(const contract& current, const contract& declared,
+                                                const sheet& planned)
+{
+    auto errors = check_sheet(current, declared, planned);
     if (!errors.empty()) {
         return tl::make_unexpected(std::move(errors));
     }
-    merged_contract merged{base, true};
+    merged_contract merged{declared, true};
     for (const auto& row : planned.rows) {
         apply_row(merged.next, row);
     }
-    // Dates written as YYYY-MM-DD sort as text.
-    if (planned.date <= base.sheet_date) {
-        const bool is_same =
-            contract_writer::to_yaml(merged.next) == contract_writer::to_yaml(base);
-        if (planned.date == base.sheet_date && is_same) {
-            return merged_contract{base, false};
-        }
-        return tl::make_unexpected(std::vector<source_error>{
-            {planned.file, first_row_line, 1,
-             "the date " + planned.date + " is not newer than that of the sheet in force, " +
-                 base.sheet_date}});
-    }
+    merged.next.version = current.version;
+    merged.next.writer = current.writer;
     merged.next.sheet_date = planned.date;
+    merged.changed = planned.date != current.sheet_date ||
+                     contract_writer::to_yaml(merged.next) != contract_writer::to_yaml(current);
     return merged;
 }
 
--- a/src/settings/sheet_merge.h
+++ b/src/settings/sheet_merge.h
@@ -8,7 +8,7 @@
 
 /// Outcome of merging a sheet into a contract.
 struct merged_contract {
-    contract next; ///< Content of the next version; version and writer are those of the base.
+    contract next;        ///< Content of the next version, with the version and writer in force.
     bool changed = false; ///< False when the sheet in force was submitted again.
 };
 
@@ -18,12 +18,20 @@
 /// only lowers the timeouts of routes; apply declaration and sheet together to raise one.
 class sheet_merge {
 public:
-    /// Applies a sheet to a contract.
-    /// @param base the contract in force, or a new declaration with the sheet date in force.
+    /// Applies a sheet to the contract in force.
+    /// @param current the contract in force.
     /// @param planned the sheet.
     /// @return the next contract, or all faults: another business, unknown or missing services, or
     /// a date that is not newer than the one in force.
-    static load_result<merged_contract> apply(const contract& base, const sheet& planned);
+    static load_result<merged_contract> apply(const contract& current, const sheet& planned);
+
+    /// Applies a new declaration and a sheet together.
+    /// @param current the contract in force.
+    /// @param declared the new declaration.
+    /// @param planned the sheet.
+    /// @return the next contract, or all faults.
+    static load_result<merged_contract> apply(const contract& current, const contract& declared,
+                                              const sheet& planned);
 
     /// Keeps what the sheet in force says while a new declaration is applied.
     /// @param current the contract in force.
--- a/src/tests/sheet_merge_test.cpp
+++ b/src/tests/sheet_merge_test.cpp
@@ -74,3 +74,17 @@
     CHECK(next.services[1].floor_slots == 6);
     CHECK(next.routes[0].timeout == std::chrono::milliseconds(2500));
 }
+
+TEST_CASE("sheet_merge: declaration and sheet together can raise a timeout", "[settings]")
+{
+    // Guards against a lowered timeout that no operator can raise while a sheet is in force.
+    auto lowered = must_load(today);
+    lowered.rows[1].max_timeout = std::chrono::milliseconds(500);
+    const auto current = sheet_merge::apply(declaration(), lowered);
+    REQUIRE(current);
+    CHECK(current->next.routes[0].timeout == std::chrono::milliseconds(500));
+    const auto raised = sheet_merge::apply(current->next, declaration(), must_load(today));
+    REQUIRE(raised);
+    CHECK(raised->changed);
+    CHECK(raised->next.routes[0].timeout == std::chrono::milliseconds(2500));
+}
