--- a/src/tests/action_gate_test.cpp
+++ b/src/tests/action_gate_test.cpp
@@ -1,11 +1,14 @@
 #include "action/action_gate.h"
 #include "action/request_digest.h"
 #include "base/manual_clock.h"
+#include "experiment/action_history_checker.h"
 #include "platform/memory_object_store.h"
 #include "platform/memory_table_service.h"
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace galenaroad;
 using namespace std::chrono_literals;
 
@@ -131,3 +134,39 @@
                      {200, {}, std::string(action_gate::max_recorded_body_bytes + 1, 'x')});
     CHECK(f.decide("k").error == error_kind::outcome_unknown);
 }
+
+TEST_CASE("action_gate: threads that share a gate start each key once", "[action]")
+{
+    // Guards against data races in a daemon; ThreadSanitizer runs this test too.
+    gate_fixture f;
+    action_history_checker history;
+    std::vector<std::string> keys;
+    for (int i = 0; i < 20; ++i) {
+        keys.push_back("key-" + std::to_string(i));
+        keys.push_back(*f.issued.issue());
+    }
+    const auto call_all = [&](const std::string& caller) {
+        for (const auto& key : keys) {
+            const auto request = caller + key;
+            const auto decision = f.decide(key);
+            if (decision.step == action_step::run) {
+                history.started({"tetteh", key, request, "digest"});
+                history.responded("tetteh", key, key);
+                f.gate.completed(decision.ticket, {200, {}, key});
+            }
+            const auto& body = decision.step == action_step::run ? key : decision.response.body;
+            history.answered(
+                {"tetteh", key, request, "digest", answer_for(decision.error).run, body});
+            f.ledger.retry_pending(1);
+        }
+    };
+    std::vector<std::thread> callers;
+    for (const char* name : {"a", "b", "c", "d"}) {
+        callers.emplace_back(call_all, name);
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(history.violations().empty());
+    CHECK(history.starts() == keys.size());
+}
