Add galenaroadd on membership and configuration

Cause: the roles, membership and configuration need a process that wires them. Change: control_shell runs fleet_control on one thread, sends gossip by asynchronous calls and exchanges on threads of their own; the table is read on a store thread; proxy_daemon binds the listeners, shuts down gracefully and writes its bound addresses.

--- /dev/null
+++ b/src/daemon/control_shell.cpp
@@ -0,0 +1,167 @@
+#include "daemon/control_shell.h"
+
+#include "peer.pb.h"
+
+#include <utility>
+
+namespace galenaroad {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto tick_interval = 50ms;
+constexpr auto store_interval = 200ms;
+
+} // namespace
+
+control_shell::control_shell(parts used, std::vector<std::shared_ptr<const contract>> initial,
+                             random_engine random)
+    : m_parts(std::move(used)),
+      m_codec(m_names),
+      m_fleet(m_parts.settings, std::move(initial), m_parts.time, random, m_parts.published),
+      m_table_reader(m_parts.tables, m_parts.objects, m_parts.time),
+      m_reader(m_table_reader, m_parts.settings.instance, m_parts.settings.location),
+      m_control(tick_interval, [this] { tick(); }),
+      m_messenger(m_parts.clients, m_codec, make_events()),
+      m_store(store_interval, [this] { store_round(); })
+{
+}
+
+void control_shell::start(const std::string& peer_address)
+{
+    m_control.run_and_wait([&] { m_fleet.start(peer_address); });
+}
+
+void control_shell::announce(const upstream_announcement& made)
+{
+    m_control.run_and_wait([&] { m_fleet.announce(made); });
+}
+
+void control_shell::withdraw(const std::string& name)
+{
+    m_control.run_and_wait([&] {
+        m_fleet.withdraw(name);
+        send_waiting();
+    });
+}
+
+void control_shell::leave()
+{
+    m_control.run_and_wait([this] {
+        m_fleet.leave();
+        send_waiting();
+    });
+}
+
+void control_shell::heard(const contract_head& head, const std::string& address)
+{
+    m_control.post([this, head, address] { m_fleet.heard(head, address); });
+}
+
+void control_shell::add_handlers(peer_handlers& handlers)
+{
+    handlers.gossip = [this](const auto& message) {
+        m_control.post([this, received = m_codec.decode(message)] {
+            m_fleet.receive(received);
+            send_waiting();
+        });
+    };
+    handlers.synchronise = [this](const auto& request, const auto& write) {
+        synchronise(request, write);
+    };
+}
+
+void control_shell::stop()
+{
+    m_store.stop();
+    m_messenger.stop();
+    m_control.stop();
+}
+
+void control_shell::tick()
+{
+    m_fleet.tick();
+    send_waiting();
+    for (const auto& address : m_fleet.take_gone()) {
+        m_parts.upstream_gone(address);
+    }
+}
+
+void control_shell::send_waiting()
+{
+    if (m_fleet.members() == nullptr) {
+        return;
+    }
+    for (const auto& each : m_fleet.members()->take_gossip()) {
+        m_messenger.send(each);
+    }
+    for (auto& each : m_fleet.members()->take_synchronise()) {
+        m_messenger.exchange(std::move(each));
+    }
+    for (auto& each : m_fleet.follower().take_fetches()) {
+        m_messenger.fetch(std::move(each));
+    }
+}
+
+// Runs on the store thread: the table may be slow for a long time.
+void control_shell::store_round()
+{
+    m_parts.store_round();
+    const auto view = m_parts.published.view.load();
+    if (!view->members) {
+        return;
+    }
+    std::vector<contract_head> held;
+    for (const auto& [business, value] : view->contracts->contracts) {
+        held.push_back({business, value->version});
+    }
+    std::vector<contract> read;
+    if (m_reader.read_if_due(*view->members, held, view->ready, read)) {
+        m_control.post([this, read = std::move(read)] { m_fleet.apply_table(read); });
+    }
+}
+
+void control_shell::synchronise(const peer::SynchroniseRequest& request,
+                                const peer_handlers::synchronise_writer& write)
+{
+    std::vector<peer::SynchroniseResponse> pieces;
+    m_control.run_and_wait([&] {
+        if (m_fleet.members() == nullptr) {
+            return;
+        }
+        if (request.has_members()) {
+            const auto asked = m_codec.decode(request.members());
+            pieces = message_codec::encode(m_fleet.members()->answer(asked));
+        }
+        else {
+            const auto asked = message_codec::decode(request.contracts());
+            pieces = message_codec::encode(m_fleet.follower().answer(asked));
+        }
+    });
+    for (const auto& piece : pieces) {
+        if (!write(piece)) {
+            return;
+        }
+    }
+}
+
+peer_messenger::events control_shell::make_events()
+{
+    peer_messenger::events events;
+    events.members = [this](const std::string& address, member_response response) {
+        m_control.post([this, address, response = std::move(response)] {
+            m_fleet.members()->merge(address, response);
+            send_waiting();
+        });
+    };
+    events.contracts = [this](const std::string& address, contract_response response) {
+        m_control.post([this, address, response = std::move(response)] {
+            m_fleet.follower().merge(address, response);
+            send_waiting();
+        });
+    };
+    return events;
+}
+
+} // namespace galenaroad
--- a/src/daemon/daemon_options.cpp
+++ b/src/daemon/daemon_options.cpp
@@ -26,7 +26,7 @@
             made.fault = "--settings FILE is required";
         }
     }
-    catch (const cxxopts::OptionException& error) {
+    catch (const cxxopts::exceptions::exception& error) {
         made.fault = error.what();
     }
     return made;
--- /dev/null
+++ b/src/daemon/peer_messenger.cpp
@@ -0,0 +1,90 @@
+#include "daemon/peer_messenger.h"
+
+#include <grpcpp/client_context.h>
+#include <memory>
+
+namespace galenaroad {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto gossip_timeout = 300ms;
+constexpr auto connect_timeout = 300ms;
+constexpr auto exchange_timeout = 2s;
+constexpr auto idle_interval = 1h;
+
+/// A gossip message on its way; lives until its call has ended.
+struct pending_gossip {
+    std::shared_ptr<const peer_client> client;
+    grpc::ClientContext context;
+    peer::GossipMessage message;
+    peer::GossipResponse response;
+};
+
+} // namespace
+
+peer_messenger::peer_messenger(client_pool& clients, const message_codec& codec, events on)
+    : m_clients(clients),
+      m_codec(codec),
+      m_events(std::move(on)),
+      m_member_thread(idle_interval, [] {}),
+      m_contract_thread(idle_interval, [] {})
+{
+}
+
+void peer_messenger::send(const outgoing_gossip& outgoing)
+{
+    auto pending = std::make_shared<pending_gossip>();
+    pending->client = m_clients.client(outgoing.address);
+    pending->message = message_codec::encode(outgoing.message);
+    pending->context.set_deadline(std::chrono::system_clock::now() + gossip_timeout);
+    pending->client->stub->async()->Gossip(&pending->context, &pending->message, &pending->response,
+                                           [pending](const grpc::Status& /*status*/) {});
+}
+
+void peer_messenger::exchange(outgoing_synchronise outgoing)
+{
+    m_member_thread.post([this, outgoing = std::move(outgoing)] {
+        synchronise(outgoing.address, message_codec::encode(outgoing.request),
+                    [&](const auto& piece) {
+                        m_events.members(outgoing.address, m_codec.decode_members(piece));
+                    });
+    });
+}
+
+void peer_messenger::fetch(outgoing_fetch outgoing)
+{
+    m_contract_thread.post([this, outgoing = std::move(outgoing)] {
+        synchronise(
+            outgoing.address, message_codec::encode(outgoing.request), [&](const auto& piece) {
+                m_events.contracts(outgoing.address, message_codec::decode_contracts(piece));
+            });
+    });
+}
+
+void peer_messenger::stop()
+{
+    m_member_thread.stop();
+    m_contract_thread.stop();
+}
+
+void peer_messenger::synchronise(const std::string& address,
+                                 const peer::SynchroniseRequest& request, const piece_hook& piece)
+{
+    const auto client = m_clients.client(address);
+    if (!client->connect(connect_timeout)) {
+        m_clients.discard(client);
+        return;
+    }
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + exchange_timeout);
+    const auto reader = client->stub->Synchronise(&context, request);
+    peer::SynchroniseResponse received;
+    while (reader->Read(&received)) {
+        piece(received);
+    }
+    reader->Finish();
+}
+
+} // namespace galenaroad
--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -1,11 +1,12 @@
 #include "daemon/proxy_daemon.h"
 
+#include "daemon/fleet_report.h"
 #include "daemon/handler_factory.h"
-#include "peer/record_mapping.h"
 #include "telemetry/structured_log.h"
 
-#include <nlohmann/json.hpp>
+#include <Poco/Net/SocketAddress.h>
 #include <random>
+#include <thread>
 
 namespace galenaroad {
 
@@ -13,11 +14,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto tick_interval = 100ms;
 constexpr std::size_t max_peer_channels = 512;
 constexpr std::size_t max_idle_backend_connections = 64;
-// A join range is tried in full; larger ranges are sampled by their first addresses.
-constexpr std::uint64_t max_join_addresses = 4096;
 
 random_engine seeded_engine()
 {
@@ -26,13 +24,13 @@
     return random_engine(seed);
 }
 
-// Start time in milliseconds, then 16 random bits, so that two starts within a millisecond differ.
-std::uint64_t new_incarnation(const clock& time)
+store_endpoint endpoint_of(const std::string& address)
 {
-    const auto since_epoch = time.system_now().time_since_epoch();
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
-    constexpr unsigned random_bits = 16;
-    return (static_cast<std::uint64_t>(ms) << random_bits) | (std::random_device{}() & 0xffffU);
+    const Poco::Net::SocketAddress parsed(address);
+    store_endpoint made;
+    made.host = parsed.host().toString();
+    made.port = parsed.port();
+    return made;
 }
 
 } // namespace
@@ -40,27 +38,24 @@
 proxy_daemon::proxy_daemon(daemon_settings settings,
                            std::vector<std::shared_ptr<const contract>> contracts)
     : m_settings(std::move(settings)),
-      m_incarnation(new_incarnation(m_clock)),
+      m_tables(endpoint_of(m_settings.table_service_address), m_clock),
+      m_objects(endpoint_of(m_settings.object_store_address), m_clock),
       m_clients(max_peer_channels),
       m_backends(m_clock, max_idle_backend_connections),
       m_ids(seeded_engine()),
-      m_fleet(own_record(), m_view),
-      m_registry(m_settings.instance, m_clock),
-      m_control(tick_interval, [this] { tick(); }),
       m_owner(make_owner_parts()),
       m_forwarder(make_entry_parts()),
-      m_entry{m_clock, m_view, m_gate, m_ids, m_forwarder},
+      m_entry{m_clock, m_published.view, m_gate, m_ids, m_forwarder},
       m_admin(make_admin_actions()),
+      m_control(make_control_parts(), std::move(contracts), seeded_engine()),
       m_peer_server(make_peer_handlers(), m_settings.workers.peer_threads),
       m_entry_listener(
           new handler_factory([this] { return std::make_unique<entry_handler>(m_entry); }),
           {m_settings.workers.entry_threads, m_settings.workers.max_queued_connections}),
       m_admin_listener(
           new handler_factory([this] { return std::make_unique<admin_handler>(m_admin); }),
-          {m_settings.workers.admin_threads, m_settings.workers.max_queued_connections}),
-      m_joiner(m_clients, m_view, join_addresses(), make_joiner_events(), seeded_engine())
+          {m_settings.workers.admin_threads, m_settings.workers.max_queued_connections})
 {
-    m_control.post([this, contracts = std::move(contracts)] { m_fleet.set_contracts(contracts); });
 }
 
 result<bound_addresses> proxy_daemon::start()
@@ -69,11 +64,6 @@
     if (!bound) {
         return bound;
     }
-    m_control.run_and_wait([&] {
-        m_fleet.set_address(bound->peer);
-        m_fleet.publish();
-    });
-    m_joiner.start();
     structured_log::info("Daemon is listening",
                          {{"entry", bound->entry}, {"peer", bound->peer}, {"admin", bound->admin}});
     return bound;
@@ -86,6 +76,7 @@
     if (!peer) {
         return tl::make_unexpected(peer.error());
     }
+    m_control.start(*peer);
     const auto admin = m_admin_listener.start(m_settings.admin_address);
     if (!admin) {
         return tl::make_unexpected(admin.error());
@@ -104,11 +95,7 @@
 {
     const auto start = m_clock.steady_now();
     m_gate.start_leaving();
-    m_control.run_and_wait([this] {
-        m_fleet.start_leaving();
-        m_fleet.publish();
-    });
-    m_joiner.notify_all();
+    m_control.leave();
     structured_log::info("Daemon is leaving");
     while (!m_gate.wait_idle(1s) || m_clock.steady_now() < start + notice_time) {
         std::this_thread::sleep_for(10ms);
@@ -120,23 +107,29 @@
     structured_log::info("Daemon has finished all work");
 }
 
-instance proxy_daemon::own_record() const
+control_shell::parts proxy_daemon::make_control_parts()
 {
-    instance own;
-    own.name = m_settings.instance;
-    own.location = m_settings.location;
-    own.incarnation = m_incarnation;
-    return own;
+    return {m_settings,
+            m_clock,
+            m_clients,
+            m_tables,
+            m_objects,
+            m_published,
+            [this](const std::string& address) { m_backends.forget(address); },
+            [] {}};
 }
 
 owner_parts proxy_daemon::make_owner_parts()
 {
-    const auto version = [this](const std::string& business) {
-        return m_view.load()->contract_version(business);
-    };
-    return {m_clock,     m_gate,        m_backends,
-            m_upstreams, m_incarnation, [](const owner_observation&) {},
-            version};
+    return {m_clock,
+            m_gate,
+            m_backends,
+            m_published.upstreams,
+            m_published.incarnation,
+            [](const owner_observation&) {},
+            [this](const std::string& business) {
+                return m_published.view.load()->contract_version(business);
+            }};
 }
 
 entry_parts proxy_daemon::make_entry_parts()
@@ -149,122 +142,21 @@
     peer_handlers handlers;
     handlers.forward = [this](auto& context, auto& stream) { m_owner.handle(context, stream); };
     handlers.fence = [this](const auto& request) { return m_owner.fence(request); };
-    handlers.synchronise = [this](const auto& request, const auto& write) {
-        synchronise(request, write);
-    };
+    m_control.add_handlers(handlers);
     return handlers;
 }
 
 admin_actions proxy_daemon::make_admin_actions()
 {
     admin_actions actions;
-    actions.announce = [this](const auto& made) {
-        m_control.run_and_wait([&] {
-            if (m_registry.announce(made)) {
-                publish_upstreams();
-            }
-        });
-    };
-    actions.withdraw = [this](const auto& name) {
-        m_control.run_and_wait([&] {
-            if (m_registry.withdraw(name)) {
-                publish_upstreams();
-            }
-        });
-        m_joiner.notify_all();
-    };
+    actions.announce = [this](const auto& made) { m_control.announce(made); };
+    actions.withdraw = [this](const auto& name) { m_control.withdraw(name); };
     actions.metrics = [] { return std::string(); };
     actions.not_ready = [this]() -> std::string {
-        return m_view.load()->contracts.empty() ? "No contract is in force yet" : "";
+        return m_published.view.load()->ready ? "" : "No configuration is in force yet";
     };
-    actions.fleet = [this] { return fleet_json(); };
+    actions.fleet = [this] { return fleet_report(*m_published.view.load()); };
     return actions;
 }
 
-peer_joiner::events proxy_daemon::make_joiner_events()
-{
-    peer_joiner::events events;
-    events.received = [this](std::vector<instance> received) {
-        m_control.post([this, received = std::move(received)] {
-            for (const auto& other : received) {
-                m_fleet.merge(other);
-            }
-            m_fleet.publish();
-        });
-    };
-    events.unreachable = [this](const std::string& name, std::uint64_t incarnation) {
-        m_control.post([this, name, incarnation] {
-            m_fleet.remove(name, incarnation);
-            m_fleet.publish();
-        });
-    };
-    return events;
-}
-
-void proxy_daemon::synchronise(const peer::SynchroniseRequest& request,
-                               const peer_handlers::synchronise_writer& write)
-{
-    const auto sender = record_mapping::to_instance(request.sender());
-    m_control.post([this, sender] {
-        m_fleet.merge(sender);
-        m_fleet.publish();
-    });
-    peer::SynchroniseResponse response;
-    for (const auto& known : m_view.load()->instances) {
-        *response.add_members() = record_mapping::to_record(known);
-    }
-    write(response);
-}
-
-void proxy_daemon::tick()
-{
-    const auto expired = m_registry.expire();
-    for (const auto& address : expired) {
-        m_backends.forget(address);
-    }
-    if (!expired.empty()) {
-        publish_upstreams();
-    }
-    m_fleet.publish();
-}
-
-void proxy_daemon::publish_upstreams()
-{
-    m_upstreams.publish(m_registry.snapshot());
-    m_fleet.set_upstreams(m_registry.records());
-    m_fleet.publish();
-}
-
-std::string proxy_daemon::fleet_json() const
-{
-    auto instances = nlohmann::json::array();
-    for (const auto& each : m_view.load()->instances) {
-        auto upstreams = nlohmann::json::array();
-        for (const auto& announced : each.upstreams) {
-            upstreams.push_back({{"name", announced.id.name},
-                                 {"business", announced.service.business},
-                                 {"service", announced.service.service},
-                                 {"slots", announced.slots},
-                                 {"state", static_cast<int>(announced.state)}});
-        }
-        instances.push_back({{"name", each.name},
-                             {"peer", each.peer_address},
-                             {"state", static_cast<int>(each.state)},
-                             {"upstreams", upstreams}});
-    }
-    return nlohmann::json{{"instances", instances}}.dump();
-}
-
-std::vector<std::string> proxy_daemon::join_addresses() const
-{
-    std::vector<std::string> addresses;
-    for (const auto& range : m_settings.join_ranges) {
-        const auto count = std::min(range.size(), max_join_addresses);
-        for (std::uint64_t index = 0; index < count; ++index) {
-            addresses.push_back(range.at(index));
-        }
-    }
-    return addresses;
-}
-
 } // namespace galenaroad
--- a/src/daemon/proxy_daemon.h
+++ b/src/daemon/proxy_daemon.h
@@ -4,17 +4,15 @@
 #include "base/result.h"
 #include "daemon/admin_handler.h"
 #include "daemon/bound_addresses.h"
-#include "daemon/control_thread.h"
-#include "daemon/fleet_state.h"
-#include "daemon/peer_joiner.h"
-#include "daemon/upstream_registry.h"
+#include "daemon/control_shell.h"
 #include "peer/peer_server.h"
+#include "platform/http_object_store.h"
+#include "platform/http_table_service.h"
 #include "proxy/entry_handler.h"
 #include "proxy/http_listener.h"
 #include "proxy/owner_dispatcher.h"
 #include "settings/daemon_settings.h"
 
-#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -38,42 +36,32 @@
     void shut_down();
 
 private:
-    instance own_record() const;
+    control_shell::parts make_control_parts();
     owner_parts make_owner_parts();
     entry_parts make_entry_parts();
     peer_handlers make_peer_handlers();
     admin_actions make_admin_actions();
-    peer_joiner::events make_joiner_events();
-    void synchronise(const peer::SynchroniseRequest& request,
-                     const peer_handlers::synchronise_writer& write);
-    void tick();
-    void publish_upstreams();
-    std::string fleet_json() const;
-    std::vector<std::string> join_addresses() const;
     result<bound_addresses> bind();
 
     daemon_settings m_settings;
     process_clock m_clock;
-    std::uint64_t m_incarnation;
-    snapshot_cell<fleet_view> m_view;
-    snapshot_cell<local_upstreams> m_upstreams;
+    http_table_service m_tables;
+    http_object_store m_objects;
+    published_state m_published;
     work_gate m_gate;
     client_pool m_clients;
     backend_pool m_backends;
     watchdog m_watchdog;
     retry_budgets m_budgets;
     id_source m_ids;
-    fleet_state m_fleet;
-    upstream_registry m_registry;
-    control_thread m_control;
     owner_dispatcher m_owner;
     forwarder m_forwarder;
     entry_context m_entry;
     admin_actions m_admin;
+    control_shell m_control;
     peer_server m_peer_server;
     http_listener m_entry_listener;
     http_listener m_admin_listener;
-    peer_joiner m_joiner;
 };
 
 } // namespace galenaroad
--- a/src/peer/client_pool.h
+++ b/src/peer/client_pool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "generated/peer.grpc.pb.h"
+#include "peer.grpc.pb.h"
 
 #include <chrono>
 #include <cstddef>
--- a/src/peer/peer_handlers.h
+++ b/src/peer/peer_handlers.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "generated/peer.grpc.pb.h"
+#include "peer.grpc.pb.h"
 
 #include <functional>
 #include <grpcpp/server_context.h>
@@ -16,7 +16,7 @@
     std::function<void(grpc::ServerContext&, forward_stream&)> forward;
     std::function<void(grpc::ServerContext&, forward_stream&)> issued_action;
     std::function<peer::FenceResponse(const peer::FenceRequest&)> fence;
-    std::function<peer::GossipMessage(const peer::GossipMessage&)> gossip;
+    std::function<void(const peer::GossipMessage&)> gossip;
     /// Called by `Synchronise` for each part of the response; returns false when the peer is gone.
     using synchronise_writer = std::function<bool(const peer::SynchroniseResponse&)>;
     std::function<void(const peer::SynchroniseRequest&, const synchronise_writer&)> synchronise;
--- a/src/peer/peer_service.cpp
+++ b/src/peer/peer_service.cpp
@@ -43,12 +43,13 @@
 }
 
 grpc::Status peer_service::Gossip(grpc::ServerContext* /*context*/,
-                                  const peer::GossipMessage* request, peer::GossipMessage* response)
+                                  const peer::GossipMessage* request,
+                                  peer::GossipResponse* /*response*/)
 {
     if (!m_handlers.gossip) {
         return unimplemented();
     }
-    *response = m_handlers.gossip(*request);
+    m_handlers.gossip(*request);
     return grpc::Status::OK;
 }
 
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -15,7 +15,7 @@
     grpc::Status FenceAttempt(grpc::ServerContext* context, const peer::FenceRequest* request,
                               peer::FenceResponse* response) override;
     grpc::Status Gossip(grpc::ServerContext* context, const peer::GossipMessage* request,
-                        peer::GossipMessage* response) override;
+                        peer::GossipResponse* response) override;
     grpc::Status Synchronise(grpc::ServerContext* context, const peer::SynchroniseRequest* request,
                              grpc::ServerWriter<peer::SynchroniseResponse>* writer) override;
 
--- a/src/proxy/entry_handler.cpp
+++ b/src/proxy/entry_handler.cpp
@@ -98,7 +98,7 @@
                                     http_answer_sink& sink, server_connection& connection)
 {
     auto view = m_parts.view.load();
-    if (view->contracts.empty()) {
+    if (!view->ready) {
         return attempt_result::failed(error_kind::configuration_unavailable, "");
     }
     const auto matched = view->routing->routes().match(request.host, request.method, request.path);
--- a/src/proxy/fleet_view.h
+++ b/src/proxy/fleet_view.h
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "model/contract.h"
+#include "configuration/configuration_store.h"
+#include "membership/membership_view.h"
 #include "routing/routing_snapshot.h"
 
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace galenaroad {
 
 /// Immutable snapshot that the control thread publishes and traffic threads read.
 struct fleet_view {
-    std::vector<instance> instances;
-    std::vector<std::shared_ptr<const contract>> contracts;
+    std::shared_ptr<const membership_view> members;
+    std::shared_ptr<const configuration_snapshot> contracts;
     std::shared_ptr<const routing_snapshot> routing;
+    bool ready = false; ///< A configuration is in force.
 
     /// Finds the version in force of a business's contract.
     /// @param business the business.
--- a/src/proxy/owner_dispatcher.h
+++ b/src/proxy/owner_dispatcher.h
@@ -11,6 +11,7 @@
 #include "proxy/stream_answer_sink.h"
 #include "proxy/work_gate.h"
 
+#include <atomic>
 #include <functional>
 #include <mutex>
 
@@ -31,7 +32,7 @@
     work_gate& gate;
     backend_pool& backends;
     const snapshot_cell<local_upstreams>& upstreams;
-    std::uint64_t incarnation = 0;
+    const std::atomic<std::uint64_t>& incarnation;
     std::function<void(const owner_observation&)> observe;
     std::function<std::uint64_t(const std::string& business)> contract_version;
 };
