--- a/src/tests/proxy_daemon_test.cpp
+++ b/src/tests/proxy_daemon_test.cpp
@@ -1,4 +1,4 @@
-#include "tests/test_fleet.h"
+#include "tests/support/test_fleet.h"
 
 #include <catch2/catch.hpp>
 #include <thread>
@@ -47,3 +47,130 @@
     CHECK(answer.json()["results"][0] == "v12-1");
     CHECK(answer.json()["request_id"] == answer.headers.at("X-Request-Id"));
 }
+
+TEST_CASE("proxy_daemon: bodies pass unchanged and a download does not grow the daemons",
+          "[daemon]")
+{
+    // Guards against chunks that are lost or reordered, and against a daemon that buffers a body.
+    two_daemons fleet;
+    fleet.start_backend("manuals-1", "manuals", "ash-b");
+    REQUIRE(fleet.serves("/manuals/a?bytes=10"));
+    constexpr long mebibyte = 1024;
+    constexpr auto download_bytes = 256L * 1024 * 1024;
+    const auto target = "/manuals/b?bytes=" + std::to_string(download_bytes);
+    fleet.send("ash-a", {"GET", "/manuals/a?bytes=4000000"});
+    const auto entry_before = fleet.process("ash-a").resident_kib();
+    const auto owner_before = fleet.process("ash-b").resident_kib();
+    const auto answer = fleet.send("ash-a", {"GET", target});
+    CHECK(answer.status == 200);
+    CHECK(answer.body.size() == download_bytes);
+    CHECK(fleet.process("ash-a").resident_kib() - entry_before < 16 * mebibyte);
+    CHECK(fleet.process("ash-b").resident_kib() - owner_before < 16 * mebibyte);
+}
+
+TEST_CASE("proxy_daemon: a truncated response is never passed on as a complete one", "[daemon]")
+{
+    // Guards against a response without its end that looks complete, and against the reuse of its
+    // connection, which would give the next request a wrong response.
+    two_daemons fleet;
+    fleet.start_backend("manuals-1", "manuals", "ash-b");
+    REQUIRE(fleet.serves("/manuals/a?bytes=10"));
+    const auto backend = fleet.address("manuals-1", "address");
+    test_fleet::send_to(backend, {"PUT", "/_faults", R"({"truncate": true})"});
+    CHECK(fleet.send("ash-a", {"GET", "/manuals/a?bytes=1000000"}).status == 0);
+    test_fleet::send_to(backend, {"PUT", "/_faults", R"({"truncate": false})"});
+    for (int i = 0; i < 5; ++i) {
+        const auto size = 1000 + i;
+        const auto answer =
+            fleet.send("ash-a", {"GET", "/manuals/a?bytes=" + std::to_string(size)});
+        CHECK(answer.status == 200);
+        CHECK(answer.body.size() == static_cast<std::size_t>(size));
+    }
+}
+
+TEST_CASE("proxy_daemon: refusals carry what is known about the run", "[daemon]")
+{
+    // Guards against errors without kind, run state or Retry-After, and against requests that two
+    // HTTP parsers could split differently.
+    two_daemons fleet;
+    fleet.start_backend("finder-1", "finder", "ash-b");
+    REQUIRE(fleet.serves("/finder/a"));
+    const auto kind_of_answer = [&](const test_request& request) {
+        return fleet.send("ash-a", request).json().value("kind", "");
+    };
+    const auto unserved = fleet.send("ash-a", {"POST", "/orders/1", "x"});
+    CHECK(unserved.status == 503);
+    CHECK(unserved.json()["kind"] == "service_unavailable");
+    CHECK(unserved.json()["run"] == "not_run");
+    CHECK(unserved.headers.at("Retry-After") == "2");
+    CHECK(unserved.headers.at("Content-Type") == "application/problem+json");
+    CHECK(kind_of_answer({"GET", "/unknown"}) == "route_not_found");
+    CHECK(kind_of_answer({"GET", "/finder/a", "", {{"X-Call-Depth", "9"}}}) == "call_too_deep");
+    CHECK(kind_of_answer({"GET", "/finder/%2e%2e/orders"}) == "invalid_request");
+    const std::string large(2U << 20U, 'x');
+    CHECK(kind_of_answer({"PUT", "/finder/a", large}) == "request_too_large");
+    const auto raw = [&](const std::string& fields) {
+        return test_fleet::send_raw(fleet.address("ash-a", "entry"),
+                                    "POST /finder/a HTTP/1.1\r\nHost: tetteh.example\r\n" + fields +
+                                        "\r\n0\r\n\r\nGET /finder/b HTTP/1.1\r\n\r\n");
+    };
+    for (const auto& answer : {raw("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+                               raw("Content-Length: 5\r\nContent-Length: 6\r\n"),
+                               raw("Transfer-Encoding: chunked, identity\r\n")}) {
+        CHECK(answer.find("HTTP/1.1 400") == 0);
+        CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
+
+TEST_CASE("proxy_daemon: a slow backend server is answered for within the deadline", "[daemon]")
+{
+    // Guards against callers that wait past their deadline, and against a late response that
+    // reaches the next request.
+    two_daemons fleet;
+    fleet.start_backend("finder-1", "finder", "ash-b");
+    REQUIRE(fleet.serves("/finder/a"));
+    const auto backend = fleet.address("finder-1", "address");
+    test_fleet::send_to(backend, {"PUT", "/_faults", R"({"extra_latency_ms": 1500})"});
+    const auto start = std::chrono::steady_clock::now();
+    const auto answer =
+        fleet.send("ash-a", {"GET", "/finder/a?q=late", "", {{"X-Request-Timeout-Ms", "400"}}});
+    const auto elapsed = std::chrono::steady_clock::now() - start;
+    CHECK(answer.status == 504);
+    CHECK(answer.json()["kind"] == "deadline_exceeded");
+    CHECK(elapsed < 600ms);
+    test_fleet::send_to(backend, {"PUT", "/_faults", R"({"extra_latency_ms": 0})"});
+    const auto next = fleet.send("ash-a", {"GET", "/finder/a?q=next"});
+    CHECK(next.json()["query"] == "next");
+}
+
+TEST_CASE("proxy_daemon: a planned stop interrupts no request in flight", "[daemon]")
+{
+    // Guards against a stop that cuts a download, admits new work or leaves peers uninformed.
+    two_daemons fleet;
+    fleet.start_backend("manuals-1", "manuals", "ash-b", {"--service-time-ms", "1500"});
+    fleet.start_backend("manuals-2", "manuals", "ash-a");
+    REQUIRE(fleet.serves("/manuals/a?bytes=10"));
+    std::vector<test_answer> answers(6);
+    std::vector<std::thread> callers;
+    for (auto& answer : answers) {
+        callers.emplace_back([&] {
+            answer = fleet.send("ash-b", {"GET", "/manuals/a?bytes=5000000"});
+        });
+    }
+    std::this_thread::sleep_for(300ms);
+    fleet.process("ash-b").terminate();
+    std::this_thread::sleep_for(50ms);
+    const auto refused = fleet.send("ash-b", {"GET", "/manuals/a?bytes=10"});
+    CHECK(refused.status == 503);
+    CHECK(refused.json()["kind"] == "leaving");
+    CHECK(refused.json()["run"] == "not_run");
+    CHECK(fleet.send("ash-a", {"GET", "/manuals/a?bytes=10"}).status == 200);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    for (const auto& answer : answers) {
+        CHECK(answer.status == 200);
+        CHECK(answer.body.size() == 5000000);
+    }
+    CHECK(fleet.process("ash-b").wait() == 0);
+}
--- a/src/tests/test_fleet.cpp
+++ b/src/tests/support/test_fleet.cpp
@@ -1,4 +1,4 @@
-#include "tests/test_fleet.h"
+#include "tests/support/test_fleet.h"
 
 #include <Poco/Exception.h>
 #include <Poco/File.h>
