--- a/src/admission/slot_queue.cpp
+++ b/src/admission/slot_queue.cpp
@@ -16,6 +16,8 @@
 constexpr auto min_retry_after = 100ms;
 constexpr auto max_retry_after = 5000ms;
 constexpr double service_time_smoothing = 0.1;
+// 200,000 accounts in one queue took 16 MB, and fairness needs only the recent past.
+constexpr std::size_t max_tracked_callers = 256;
 
 // Transfers are shed first and actions last.
 int class_rank(request_class work)
@@ -161,6 +163,9 @@
 void slot_queue::admit(const admission_request& request)
 {
     ++m_in_use;
+    if (m_recent_admissions.size() >= max_tracked_callers) {
+        m_recent_admissions.clear();
+    }
     ++m_recent_admissions[request.caller];
 }
 
--- a/src/admission/slot_queue.h
+++ b/src/admission/slot_queue.h
@@ -101,7 +101,7 @@
     std::chrono::duration<double> m_mean_service_time;
     waiting_list m_waiting;
     std::vector<std::uint64_t> m_displaced;
-    /// Admissions per caller while anyone waits; cleared when the queue is empty.
+    /// Admissions per caller while anyone waits; cleared when the queue is empty or at a limit.
     std::map<std::string, int> m_recent_admissions;
 };
 
--- a/src/experiment/entry_capacity.cpp
+++ b/src/experiment/entry_capacity.cpp
@@ -21,6 +21,7 @@
 constexpr int data_centres = 11;
 constexpr int regions = 4;
 constexpr int probes = 200'000;
+constexpr int first_instance = 10'000; // Equal numbers of digits keep the names ordered.
 
 /// One line of the output: what an entry daemon holds and spends at one size.
 struct capacity_sample {
@@ -50,27 +51,30 @@
             "service-" + std::to_string(index % services_per_business)};
 }
 
-std::vector<instance> make_instances(int upstreams)
+membership_view make_members(int upstreams)
 {
-    std::vector<instance> instances;
+    std::vector<member> members;
+    std::shared_ptr<member_record> record;
     const int services = std::max(1, upstreams / upstreams_per_service);
+    std::vector<std::shared_ptr<const service_id>> names;
+    for (int index = 0; index < services; ++index) {
+        names.push_back(std::make_shared<service_id>(service_at(index)));
+    }
     for (int index = 0; index < upstreams; ++index) {
         if (index % upstreams_per_daemon == 0) {
-            instance made;
+            record = std::make_shared<member_record>();
             const int centre = (index / upstreams_per_daemon) % data_centres;
-            made.name = "instance-" + std::to_string(index / upstreams_per_daemon);
-            made.peer_address = "10.0.0.1:7101";
-            made.location = {"region-" + std::to_string(centre % regions),
-                             "centre-" + std::to_string(centre)};
-            instances.push_back(made);
+            const int number = first_instance + index / upstreams_per_daemon;
+            record->name = "instance-" + std::to_string(number);
+            record->peer_address = "10.0.0.1:7101";
+            record->location = std::make_shared<data_centre>(data_centre{
+                "region-" + std::to_string(centre % regions), "centre-" + std::to_string(centre)});
+            members.push_back({record, 1, instance_state::alive});
         }
-        upstream announced;
-        announced.id = {instances.back().name, "server-" + std::to_string(index)};
-        announced.service = service_at(index % services);
-        announced.slots = 7;
-        instances.back().upstreams.push_back(announced);
+        record->upstreams.push_back(
+            {"server-" + std::to_string(index), names[index % services], 7, 330});
     }
-    return instances;
+    return membership_view(std::move(members), 1);
 }
 
 std::vector<std::shared_ptr<const contract>> make_contracts(int routes)
@@ -94,12 +98,12 @@
 
 capacity_sample measure_upstreams(int upstreams)
 {
-    const auto instances = make_instances(upstreams);
+    const auto members = make_members(upstreams);
     const std::size_t before = heap_in_use();
-    routing_snapshot_builder builder("instance-0", instances.front().location);
+    routing_snapshot_builder builder("instance-10000", *members.members().front().record->location);
     std::shared_ptr<const routing_snapshot> snapshot;
     capacity_sample sample{"upstream", upstreams};
-    sample.build_ms = milliseconds_of([&] { snapshot = builder.build(instances, {}); });
+    sample.build_ms = milliseconds_of([&] { snapshot = builder.build(members, {}); });
     sample.bytes = heap_in_use() - before;
     random_engine random(1);
     const process_clock clock;
@@ -113,6 +117,20 @@
     return sample;
 }
 
+// One daemon of the fleet is replaced between two builds.
+capacity_sample measure_update(int upstreams)
+{
+    const auto members = make_members(upstreams);
+    routing_snapshot_builder builder("instance-10000", *members.members().front().record->location);
+    builder.build(members, {});
+    auto changed = members.members();
+    changed.back().record = std::make_shared<member_record>(*changed.back().record);
+    const membership_view next(std::move(changed), 2);
+    capacity_sample sample{"update_of_one_daemon", upstreams};
+    sample.build_ms = milliseconds_of([&] { builder.build(next, {}); });
+    return sample;
+}
+
 capacity_sample measure_routes(int routes)
 {
     const auto contracts = make_contracts(routes);
@@ -191,6 +209,7 @@
     };
     for (const int upstreams : {9'250, 18'500, 37'000, 74'000}) {
         print(measure_upstreams(upstreams));
+        print(measure_update(upstreams));
     }
     for (const int routes : {10'000, 20'000, 40'000, 80'000}) {
         print(measure_routes(routes));
--- a/src/experiment/overload_model.cpp
+++ b/src/experiment/overload_model.cpp
@@ -41,9 +41,12 @@
 {
     for (int service = 0; service < service_count; ++service) {
         for (int index = 0; index < parameters.upstreams; ++index) {
+            auto owner = std::make_shared<member_record>();
+            owner->name = std::to_string(index);
+            owner->upstreams.push_back(
+                {std::to_string(service), nullptr, static_cast<std::uint16_t>(parameters.slots)});
             upstream_candidate candidate;
-            candidate.id = {std::to_string(index), std::to_string(service)};
-            candidate.slots = parameters.slots;
+            candidate.owner = std::move(owner);
             candidate.load = std::make_shared<upstream_load>();
             m_candidates[service].upstreams.push_back(std::move(candidate));
             m_servers[service].emplace_back(parameters.slots);
@@ -118,7 +121,7 @@
         return;
     }
     current.upstream = static_cast<int>(chosen - candidates.upstreams.data());
-    current.tried.push_back(chosen->id);
+    current.tried.push_back(chosen->id());
     chosen->load->request_started();
     ++current.attempts;
     ++m_result.attempts;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -61,7 +61,7 @@
         state.retry_granted = false;
         body.rewind();
         outcome = attempt(order, *target, body, sink, state);
-        state.tried.push_back(target->id);
+        state.tried.push_back(target->id());
     } while (!outcome.ok() && may_retry(order, outcome, body, state));
     return outcome;
 }
@@ -84,7 +84,7 @@
     if (started >= order.context.deadline) {
         return attempt_result::failed(error_kind::deadline_exceeded_before_run, "");
     }
-    const auto client = m_parts.clients.client(target.peer_address);
+    const auto client = m_parts.clients.client(target.peer_address());
     forward_attempt call(client, m_parts.guard, m_parts.time);
     const auto accepts = [&](int status) {
         if (!is_server_failure(status) || !is_idempotent(order)) {
@@ -124,9 +124,9 @@
     context.set_deadline(std::chrono::system_clock::now() + std::min(left, fence_timeout));
     peer::FenceRequest request;
     request.set_attempt_id(attempt_id);
-    request.set_owner_incarnation(target.owner_incarnation);
+    request.set_owner_incarnation(target.owner_incarnation());
     peer::FenceResponse response;
-    const auto client = m_parts.clients.client(target.peer_address);
+    const auto client = m_parts.clients.client(target.peer_address());
     const auto status = client->stub->FenceAttempt(&context, request, &response);
     if (status.ok() && response.state() == peer::FenceResponse::NOT_RUN) {
         auto proved = attempt_result::failed(error_kind::peer_unreachable, outcome.detail);
@@ -163,14 +163,14 @@
     head.set_attempt_id(state.attempt_id(request));
     head.set_business(std::string(order.route.business));
     head.set_service(route.service);
-    head.set_upstream(target.id.name);
+    head.set_upstream(target.announced().name);
     head.set_method(request.method);
     head.set_target(request.target);
     head.set_depth(static_cast<std::uint32_t>(order.context.depth));
     head.set_retry_budget(static_cast<std::uint32_t>(order.context.retries_left));
     head.set_traceparent(request.traceparent);
     head.set_configuration_version(order.view->contract_version(head.business()));
-    head.set_owner_incarnation(target.owner_incarnation);
+    head.set_owner_incarnation(target.owner_incarnation());
     head.set_work_class(static_cast<std::uint32_t>(route.work));
     head.set_once(route.once);
     head.set_content_length(request.content_length);
@@ -205,7 +205,7 @@
     }
     const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - started);
     m_parts.observe(
-        {service_of(order), target.id, order.route.declared->work, outcome.result, elapsed});
+        {service_of(order), target.id(), order.route.declared->work, outcome.result, elapsed});
 }
 
 } // namespace galenaroad
--- a/src/routing/routing_snapshot.h
+++ b/src/routing/routing_snapshot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "membership/member_record.h"
 #include "model/instance.h"
 #include "routing/route_table.h"
 #include "routing/upstream_load.h"
@@ -13,14 +14,34 @@
 
 /// An upstream that a request can be sent to, as one entry daemon sees it.
 struct upstream_candidate {
-    upstream_id id;
-    std::string peer_address; ///< Address of the owner's daemon.
-    std::uint64_t owner_incarnation = 0;
-    int slots = 0;
-    link_distance distance = link_distance::same_data_centre;
+    std::shared_ptr<const member_record> owner; ///< Record of the daemon beside the upstream.
+    std::uint32_t index = 0;                    ///< Position of the upstream in the record.
     /// Preference from 0 to 1. Steering lowers it; it never excludes a candidate.
-    double preference = 1.0;
+    float preference = 1.0F;
+    link_distance distance = link_distance::same_data_centre;
     std::shared_ptr<upstream_load> load;
+
+    /// @return the announced upstream.
+    const member_upstream& announced() const { return owner->upstreams[index]; }
+
+    /// @return the upstream's name in the fleet.
+    upstream_id id() const { return {owner->name, announced().name}; }
+
+    /// @param other an upstream's name.
+    /// @return whether this is that upstream.
+    bool is(const upstream_id& other) const
+    {
+        return owner->name == other.instance && announced().name == other.name;
+    }
+
+    /// @return the address of the owner's daemon.
+    const std::string& peer_address() const { return owner->peer_address; }
+
+    /// @return the incarnation of the owner's daemon.
+    std::uint64_t owner_incarnation() const { return owner->incarnation; }
+
+    /// @return the requests that the upstream can run at the same time.
+    int slots() const { return announced().slots; }
 };
 
 /// Candidates of one service, nearest first.
@@ -31,8 +52,9 @@
 /// Immutable view of routes and upstreams that traffic threads read without locks.
 class routing_snapshot {
 public:
-    routing_snapshot(std::shared_ptr<const route_table> routes,
-                     std::map<service_id, service_candidates> services)
+    using service_map = std::map<service_id, std::shared_ptr<const service_candidates>>;
+
+    routing_snapshot(std::shared_ptr<const route_table> routes, service_map services)
         : m_routes(std::move(routes)), m_services(std::move(services))
     {
     }
@@ -46,15 +68,15 @@
     const service_candidates* candidates(const service_id& service) const
     {
         const auto found = m_services.find(service);
-        return found == m_services.end() ? nullptr : &found->second;
+        return found == m_services.end() ? nullptr : found->second.get();
     }
 
     /// @return all services with their candidates.
-    const std::map<service_id, service_candidates>& services() const { return m_services; }
+    const service_map& services() const { return m_services; }
 
 private:
     std::shared_ptr<const route_table> m_routes;
-    std::map<service_id, service_candidates> m_services;
+    service_map m_services;
 };
 
 } // namespace galenaroad
--- a/src/routing/routing_snapshot_builder.h
+++ b/src/routing/routing_snapshot_builder.h
@@ -1,31 +1,34 @@
 #pragma once
 
+#include "membership/membership_view.h"
 #include "model/contract.h"
-#include "model/instance.h"
 #include "routing/routing_snapshot.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace galenaroad {
 
-/// Builds routing snapshots for one entry daemon and keeps the load records between them.
+/// Builds routing snapshots for one entry daemon.
 ///
-/// Used by the control thread only.
+/// Only services whose upstreams or preferences have changed are built again; all others share
+/// their candidates with the previous snapshot. Used by the control thread only.
 class routing_snapshot_builder {
 public:
     /// Preference of an upstream between 0 and 1, or a negative number to leave it out.
-    using preference_hook = std::function<double(const upstream&)>;
+    using preference_hook = std::function<double(const service_id&, const upstream_id&)>;
+    using contract_list = std::vector<std::shared_ptr<const contract>>;
 
     /// @param own_name the name of this daemon's instance, which seeds the subsets.
     /// @param location where this daemon runs.
     routing_snapshot_builder(std::string own_name, data_centre location);
 
     /// Sets the steering hook.
-    /// @param hook called once per upstream and build.
+    /// @param hook called once per upstream of each service that is built.
     /// @return this builder.
     routing_snapshot_builder& preference(preference_hook hook);
 
@@ -34,22 +37,34 @@
     /// @return this builder.
     routing_snapshot_builder& subset_size(std::size_t size);
 
+    /// Has a service built again, because preferences of its upstreams have changed.
+    /// @param service the service.
+    void mark_changed(const service_id& service);
+
     /// Builds a snapshot.
-    /// @param instances all known instances.
+    /// @param members the members of the fleet.
     /// @param contracts the contracts in force.
-    /// @return the snapshot.
-    std::shared_ptr<const routing_snapshot>
-    build(const std::vector<instance>& instances,
-          const std::vector<std::shared_ptr<const contract>>& contracts);
+    /// @return the snapshot; the previous one when nothing has changed.
+    std::shared_ptr<const routing_snapshot> build(const membership_view& members,
+                                                  const contract_list& contracts);
 
 private:
-    using service_map = std::map<service_id, service_candidates>;
+    struct upstream_reference {
+        std::shared_ptr<const member_record> owner;
+        std::uint32_t index = 0;
+        bool is_suspect = false;
+    };
+    using reference_list = std::vector<upstream_reference>;
 
-    void add_upstreams(const instance& owner, service_map& services);
-    void limit_to_subset(service_candidates& candidates) const;
-    std::shared_ptr<upstream_load> load_of(const upstream_id& id);
-    std::shared_ptr<const route_table>
-    routes_of(const std::vector<std::shared_ptr<const contract>>& contracts);
+    void note_member_changes(const membership_view& members);
+    void remove_upstreams(const member& owner);
+    void add_upstreams(const member& owner);
+    std::shared_ptr<const service_candidates> build_service(const service_id& service) const;
+    upstream_candidate make_candidate(const upstream_reference& reference, double preference) const;
+    void order_by_distance(std::vector<upstream_candidate>& candidates) const;
+    void limit_to_subset(std::vector<upstream_candidate>& candidates) const;
+    void keep_loads(const service_id& service, std::vector<upstream_candidate>& candidates) const;
+    bool update_routes(const contract_list& contracts);
 
     std::string m_own_name;
     data_centre m_location;
@@ -57,10 +72,12 @@
     // With 23 upstreams per service on average, most services are used whole; the bound keeps
     // connections per daemon independent of the size of the largest services.
     std::size_t m_subset_size = 32;
-    std::map<upstream_id, std::shared_ptr<upstream_load>> m_loads;
-    std::map<upstream_id, std::shared_ptr<upstream_load>> m_previous_loads;
-    std::vector<std::shared_ptr<const contract>> m_indexed_contracts;
+    std::vector<member> m_members;
+    std::map<service_id, reference_list> m_references;
+    std::set<service_id> m_changed;
+    contract_list m_contracts;
     std::shared_ptr<const route_table> m_routes;
+    std::shared_ptr<const routing_snapshot> m_current;
 };
 
 } // namespace galenaroad
--- a/src/routing/upstream_selector.cpp
+++ b/src/routing/upstream_selector.cpp
@@ -11,13 +11,14 @@
 
 double weight_of(const upstream_candidate& candidate)
 {
-    return std::max(candidate.preference * candidate.slots, min_weight);
+    return std::max(static_cast<double>(candidate.preference) * candidate.slots(), min_weight);
 }
 
 // Cost 0 is an idle healthy upstream and cost 1 a full one; a steered upstream counts as busier.
 double cost_of(const upstream_candidate& candidate, steady_time now)
 {
-    return candidate.load->utilisation(candidate.slots, now) + 1.0 - candidate.preference;
+    return candidate.load->utilisation(candidate.slots(), now) + 1.0 -
+           static_cast<double>(candidate.preference);
 }
 
 } // namespace
@@ -31,8 +32,8 @@
                                 link_distance::cross_region}) {
         candidate_list tier;
         for (const auto& candidate : candidates.upstreams) {
-            const bool tried =
-                std::find(excluded.begin(), excluded.end(), candidate.id) != excluded.end();
+            const bool tried = std::any_of(excluded.begin(), excluded.end(),
+                                           [&](const auto& id) { return candidate.is(id); });
             if (candidate.distance == distance && !tried) {
                 tier.push_back(&candidate);
             }
--- a/src/tests/upstream_selector_test.cpp
+++ b/src/tests/upstream_selector_test.cpp
@@ -2,9 +2,11 @@
 
 #include "routing/routing_snapshot_builder.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <rapidcheck/catch.h>
+#include <set>
 
 using namespace galenaroad;
 
@@ -15,26 +17,34 @@
 upstream_candidate candidate(const std::string& name, link_distance distance,
                              double preference = 1.0)
 {
+    auto owner = std::make_shared<member_record>();
+    owner->name = name;
+    owner->upstreams.push_back({"server", nullptr, 7, 330, upstream_state::serving});
     upstream_candidate made;
-    made.id = {name, "server"};
-    made.slots = 7;
+    made.owner = owner;
     made.distance = distance;
-    made.preference = preference;
+    made.preference = static_cast<float>(preference);
     made.load = std::make_shared<upstream_load>();
     return made;
 }
 
-instance owner_of(const std::string& name, const data_centre& location)
+member owner_of(const std::string& name, const data_centre& location,
+                upstream_state state = upstream_state::serving)
 {
-    instance owner;
-    owner.name = name;
-    owner.location = location;
-    upstream announced;
-    announced.id = {name, "server"};
-    announced.service = {"tetteh", "finder"};
-    announced.slots = 7;
-    owner.upstreams = {announced};
-    return owner;
+    auto record = std::make_shared<member_record>();
+    record->name = name;
+    record->location = std::make_shared<data_centre>(location);
+    const auto service = std::make_shared<service_id>(service_id{"tetteh", "finder"});
+    record->upstreams.push_back({"server", service, 7, 330, state});
+    return {record, 1, instance_state::alive};
+}
+
+std::shared_ptr<const routing_snapshot> build(routing_snapshot_builder& builder,
+                                              std::vector<member> members)
+{
+    std::sort(members.begin(), members.end(),
+              [](const auto& a, const auto& b) { return a.record->name < b.record->name; });
+    return builder.build(membership_view(std::move(members), 1), {});
 }
 
 } // namespace
@@ -47,10 +57,10 @@
                             candidate("far", link_distance::cross_region)};
     random_engine random(1);
     const upstream_selector selector;
-    CHECK(selector.select(candidates, {}, start, random)->id.instance == "near");
+    CHECK(selector.select(candidates, {}, start, random)->owner->name == "near");
     candidates.upstreams[0].load->report(7, 2, start);
-    CHECK(selector.select(candidates, {}, start, random)->id.instance == "far");
-    CHECK(selector.select(candidates, {{"near", "server"}}, start, random)->id.instance == "far");
+    CHECK(selector.select(candidates, {}, start, random)->owner->name == "far");
+    CHECK(selector.select(candidates, {{"near", "server"}}, start, random)->owner->name == "far");
     CHECK(selector.select(candidates, {{"near", "server"}, {"far", "server"}}, start, random) ==
           nullptr);
 }
@@ -68,11 +78,11 @@
     std::map<std::string, int> picks;
     constexpr int draws = 60000;
     for (int draw = 0; draw < draws; ++draw) {
-        ++picks[upstream_selector().select(candidates, {}, start, random)->id.instance];
+        ++picks[upstream_selector().select(candidates, {}, start, random)->owner->name];
     }
     CHECK(picks["sick"] < draws / 12 / 10);
     candidates.upstreams.erase(candidates.upstreams.begin(), candidates.upstreams.end() - 1);
-    CHECK(upstream_selector().select(candidates, {}, start, random)->id.instance == "sick");
+    CHECK(upstream_selector().select(candidates, {}, start, random)->owner->name == "sick");
 }
 
 TEST_CASE("routing_snapshot_builder: subsets are bounded and reach other data centres", "[routing]")
@@ -82,15 +92,15 @@
     rc::prop("subset", [] {
         const auto near = *rc::gen::inRange<int>(0, 200);
         const auto far = *rc::gen::inRange<int>(0, 200);
-        std::vector<instance> instances;
+        std::vector<member> members;
         for (int index = 0; index < near; ++index) {
-            instances.push_back(owner_of("n" + std::to_string(index), {"ash", "ash-1"}));
+            members.push_back(owner_of("n" + std::to_string(index), {"ash", "ash-1"}));
         }
         for (int index = 0; index < far; ++index) {
-            instances.push_back(owner_of("f" + std::to_string(index), {"gac", "gac-1"}));
+            members.push_back(owner_of("f" + std::to_string(index), {"gac", "gac-1"}));
         }
         routing_snapshot_builder builder("entry", {"ash", "ash-1"});
-        const auto snapshot = builder.subset_size(32).build(instances, {});
+        const auto snapshot = build(builder.subset_size(32), members);
         const auto* candidates = snapshot->candidates({"tetteh", "finder"});
         const int found =
             candidates == nullptr ? 0 : static_cast<int>(candidates->upstreams.size());
@@ -106,14 +116,53 @@
 {
     // Guards against new work for a leaving backend server and against forgetting the load when
     // the fleet changes.
-    auto owner = owner_of("a", {"ash", "ash-1"});
-    routing_snapshot_builder builder("entry", {"ash", "ash-1"});
-    const auto before = builder.build({owner}, {});
-    const auto load = before->candidates({"tetteh", "finder"})->upstreams[0].load;
-    const auto after = builder.build({owner, owner_of("b", {"ash", "ash-1"})}, {});
-    CHECK(after->candidates({"tetteh", "finder"})->upstreams.size() == 2);
-    const auto& kept = after->candidates({"tetteh", "finder"})->upstreams;
+    const data_centre here{"ash", "ash-1"};
+    const service_id finder{"tetteh", "finder"};
+    routing_snapshot_builder builder("entry", here);
+    const auto first = owner_of("a", here);
+    const auto before = build(builder, {first});
+    const auto load = before->candidates(finder)->upstreams[0].load;
+    const auto after = build(builder, {first, owner_of("b", here)});
+    const auto& kept = after->candidates(finder)->upstreams;
+    REQUIRE(kept.size() == 2);
     CHECK((kept[0].load == load || kept[1].load == load));
-    owner.upstreams[0].state = upstream_state::leaving;
-    CHECK(builder.build({owner}, {})->candidates({"tetteh", "finder"}) == nullptr);
+    CHECK(build(builder, {owner_of("a", here, upstream_state::leaving)})->candidates(finder) ==
+          nullptr);
+}
+
+TEST_CASE("routing_snapshot_builder: unchanged services are shared between snapshots", "[routing]")
+{
+    // Guards against rebuilding 74,000 candidates for each change of one daemon.
+    const data_centre here{"ash", "ash-1"};
+    const service_id finder{"tetteh", "finder"};
+    routing_snapshot_builder builder("entry", here);
+    const auto first = owner_of("a", here);
+    const auto before = build(builder, {first});
+    CHECK(build(builder, {first}) == before);
+    builder.mark_changed({"tetteh", "orders"});
+    const auto after = build(builder, {first});
+    CHECK(after != before);
+    CHECK(after->candidates(finder) == before->candidates(finder));
+}
+
+TEST_CASE("routing_snapshot_builder: incremental and full builds agree", "[routing]")
+{
+    // Guards against candidates that survive the departure of their daemon, or get lost.
+    rc::prop("any sequence of fleets", [] {
+        const data_centre here{"ash", "ash-1"};
+        const service_id finder{"tetteh", "finder"};
+        routing_snapshot_builder incremental("entry", here);
+        const auto fleets = *rc::gen::container<std::vector<std::set<int>>>(
+            rc::gen::container<std::set<int>>(rc::gen::inRange(0, 12)));
+        for (const auto& fleet : fleets) {
+            std::vector<member> members;
+            for (const int name : fleet) {
+                members.push_back(owner_of(std::to_string(name), here));
+            }
+            const auto snapshot = build(incremental, members);
+            const auto* candidates = snapshot->candidates(finder);
+            const auto found = candidates == nullptr ? 0 : candidates->upstreams.size();
+            RC_ASSERT(found == fleet.size());
+        }
+    });
 }
