--- a/src/tests/action_ledger_test.cpp
+++ b/src/tests/action_ledger_test.cpp
@@ -3,6 +3,7 @@
 #include "base/manual_clock.h"
 #include "platform/memory_object_store.h"
 #include "platform/memory_table_service.h"
+#include "tests/support/unreliable_table_service.h"
 
 #include <catch2/catch.hpp>
 
@@ -127,6 +128,31 @@
     CHECK(f.a.pending_releases() == 0);
 }
 
+TEST_CASE("action_ledger: a release gives no right to another daemon's claim", "[action]")
+{
+    // Guards against a daemon that replaces a claim which another daemon made between the release,
+    // whose response was lost, and the reading of the row. It led to a second start.
+    ledger_fixture f;
+    f.lose_everything();
+    CHECK(f.a.claim(f.request()).kind == claim_kind::store_unavailable);
+    auto claimed_by_b = claim_kind::store_unavailable;
+    bool released = false;
+    store_faults faults;
+    faults.lose_response = [&](const store_call& call) {
+        if (call.operation != store_operation::update || released) {
+            return false;
+        }
+        released = true;
+        claimed_by_b = f.b.claim(f.request()).kind;
+        return true;
+    };
+    f.tables.inject(faults);
+    CHECK(f.a.claim(f.request()).kind == claim_kind::store_unavailable);
+    CHECK(claimed_by_b == claim_kind::won);
+    CHECK(f.a.claim(f.request()).kind == claim_kind::in_progress);
+    CHECK(f.a.pending() == 0);
+}
+
 TEST_CASE("action_ledger: a late claim cannot follow its release", "[action]")
 {
     // Guards against a claim write that arrives after the daemon has found no row and given up.
@@ -141,6 +167,32 @@
     CHECK(f.b.claim(f.request()).kind == claim_kind::won);
 }
 
+TEST_CASE("action_ledger: a late claim of a released key cannot follow its release", "[action]")
+{
+    // Guards against a claim by update that arrives late and still matches the released row's tag.
+    ledger_fixture f;
+    REQUIRE(f.b.release(f.b.claim(f.request()).claim, not_run_proof::fenced));
+    late_effects late;
+    random_engine random(1);
+    store_fault_shares shares;
+    bool planted = false;
+    unreliable_table_service slow({f.tables, late, random, shares, planted, [] {}});
+    action_ledger ledger(slow, f.objects, f.time, f.attempts_a, f.alive());
+    shares.late_effect = 1;
+    store_faults faults;
+    faults.fail_before_effect = [&](const store_call&) { return late.size() == 2; };
+    f.tables.inject(faults);
+    CHECK(ledger.claim(f.request()).kind == claim_kind::store_unavailable);
+    REQUIRE(ledger.pending_releases() == 1);
+    shares.late_effect = 0;
+    f.tables.inject({});
+    CHECK(ledger.retry_pending(1) == 1);
+    for (const auto& effect : late) {
+        effect();
+    }
+    CHECK(f.b.claim(f.request()).kind == claim_kind::won);
+}
+
 TEST_CASE("action_ledger: an unconfirmed response is recorded later", "[action]")
 {
     // Guards against completed actions that callers can no longer ask for.
