--- a/src/membership/membership_rounds.cpp
+++ b/src/membership/membership_rounds.cpp
@@ -109,6 +109,7 @@
     }
     m_next_retry = now + m_settings.retry_interval;
     m_ejections.expire(now);
+    m_queue.expire(now);
     if (m_wanted_at.size() > most_wanted_remembered) {
         m_wanted_at.clear();
     }
--- a/src/membership/update_queue.cpp
+++ b/src/membership/update_queue.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/encoded_size.h"
 
+#include <iterator>
 #include <utility>
 
 namespace galenaroad {
@@ -11,6 +12,13 @@
 // An update smaller than this does not exist, so that filling ends early.
 constexpr std::size_t least_update_bytes = 16;
 
+// Filling ends after this many updates that did not fit; looking at all would cost more processor
+// time than the last bytes of the budget are worth.
+constexpr int most_misfits = 32;
+
+// Two intervals of anti-entropy.
+constexpr auto longest_wait = std::chrono::seconds(60);
+
 /// Adds updates to a message as long as they fit.
 class message_filler {
 public:
@@ -22,20 +30,29 @@
 
     bool full() const { return m_used + least_update_bytes > m_budget; }
 
+    /// Sets the size of the record that is passed next; it is costly to find.
+    void announce_size(std::size_t record_bytes) { m_record_bytes = record_bytes; }
+
     bool operator()(const member& update)
     {
-        if (encoded_bound(update) <= m_budget) {
-            return add(m_updates.members, update);
+        if (m_record_bytes <= m_budget) {
+            return add(m_updates.members, update, m_record_bytes);
         }
         const auto& record = *update.record;
         const state_change notice{record.name, record.incarnation, update.version,
                                   record.content_version, update.state};
-        return add(m_updates.changes, notice);
+        return add(m_updates.changes, notice, encoded_bound(notice));
     }
 
-    bool operator()(const state_change& change) { return add(m_updates.changes, change); }
+    bool operator()(const state_change& change)
+    {
+        return add(m_updates.changes, change, encoded_bound(change));
+    }
 
-    bool operator()(const contract_head& head) { return add(m_updates.contracts, head); }
+    bool operator()(const contract_head& head)
+    {
+        return add(m_updates.contracts, head, encoded_bound(head));
+    }
 
     bool operator()(const service_id& service)
     {
@@ -46,14 +63,13 @@
         if (encoded_bound(*row) > m_budget) {
             row->row.clear();
         }
-        return add(m_updates.ejections, *row);
+        return add(m_updates.ejections, *row, encoded_bound(*row));
     }
 
 private:
     template <typename Update>
-    bool add(std::vector<Update>& list, const Update& update)
+    bool add(std::vector<Update>& list, const Update& update, std::size_t bytes)
     {
-        const auto bytes = encoded_bound(update);
         if (m_used + bytes > m_budget) {
             return false;
         }
@@ -65,6 +81,7 @@
     gossip_updates& m_updates;
     std::size_t m_used;
     std::size_t m_budget;
+    std::size_t m_record_bytes = 0;
     const ejection_table& m_ejections;
     steady_time m_now;
 };
@@ -97,13 +114,29 @@
     if (known != m_keys.end()) {
         erase(m_items.find(known->second));
     }
+    const auto* record = std::get_if<member>(&content);
+    const auto record_bytes = record == nullptr ? 0 : encoded_bound(*record);
     const auto number = m_next++;
     m_keys[key] = number;
-    m_items.emplace(number, item{std::move(content), std::move(key), need, 0});
+    m_items.emplace(number, item{std::move(content), std::move(key), need, record_bytes, 0, {}});
     if (need == urgency::prompt) {
         ++m_prompt;
         ++m_unsent;
     }
+    if (m_items.size() > most_items) {
+        erase(std::prev(m_items.end()));
+    }
+}
+
+void update_queue::expire(steady_time now)
+{
+    for (auto each = m_items.begin(); each != m_items.end();) {
+        auto& waiting = each->second;
+        if (waiting.queued == steady_time()) {
+            waiting.queued = now;
+        }
+        each = now - waiting.queued > longest_wait ? erase(each) : std::next(each);
+    }
 }
 
 update_queue::item_map::iterator update_queue::erase(item_map::iterator at)
@@ -129,9 +162,14 @@
                         const ejection_table& ejections, steady_time now)
 {
     message_filler filler(updates, used, m_budget_bytes, ejections, now);
+    int misfits = 0;
     for (auto each = m_items.begin(); each != m_items.end() && !filler.full();) {
+        filler.announce_size(each->second.record_bytes);
         if (!std::visit(filler, each->second.content)) {
             ++each;
+            if (++misfits == most_misfits) {
+                return;
+            }
             continue;
         }
         count_sent(each->second);
--- a/src/membership/update_queue.h
+++ b/src/membership/update_queue.h
@@ -13,8 +13,9 @@
 
 namespace galenaroad {
 
-/// Updates that a daemon still passes on, newest first. Each is sent a limited number of times. An
-/// update on the same subject replaces the older one.
+/// Updates that a daemon still passes on, newest first. Each is sent a limited number of times and
+/// for a limited time. An update on the same subject replaces the older one. When many wait, as
+/// after the start of a whole fleet, the oldest are dropped and left to anti-entropy.
 class update_queue {
 public:
     /// How soon an update has to reach the fleet.
@@ -23,6 +24,9 @@
         prompt,    ///< Causes messages of its own.
     };
 
+    /// Greatest number of updates that wait.
+    static constexpr std::size_t most_items = 1024;
+
     /// @param budget_bytes the greatest size of the updates in a message.
     explicit update_queue(std::size_t budget_bytes) : m_budget_bytes(budget_bytes) {}
 
@@ -46,6 +50,10 @@
     void fill(gossip_updates& updates, std::size_t used, int limit, const ejection_table& ejections,
               steady_time now);
 
+    /// Drops updates that have waited for longer than an exchange of anti-entropy takes.
+    /// @param now the time.
+    void expire(steady_time now);
+
     /// @return whether a prompt update waits that has never been sent.
     bool has_unsent() const { return m_unsent > 0; }
 
@@ -62,7 +70,9 @@
         subject content;
         std::string key;
         urgency need = urgency::piggyback;
+        std::size_t record_bytes = 0; ///< Of a member's record.
         int sends = 0;
+        steady_time queued;
     };
     using item_map = std::map<std::uint64_t, item, std::greater<>>;
 
