--- a/src/daemon/fleet_control.cpp
+++ b/src/daemon/fleet_control.cpp
@@ -199,15 +199,11 @@
     view->members = m_membership->view();
     view->contracts = m_contracts.snapshot();
     view->ready = m_follower.ready();
-    std::vector<instance> instances;
-    for (const auto& known : view->members->members()) {
-        instances.push_back(to_instance(known));
-    }
-    std::vector<std::shared_ptr<const contract>> contracts;
+    routing_snapshot_builder::contract_list contracts;
     for (const auto& [business, held] : view->contracts->contracts) {
         contracts.push_back(held);
     }
-    view->routing = m_routing.build(instances, contracts);
+    view->routing = m_routing.build(*view->members, contracts);
     m_published.view.publish(std::move(view));
     m_view_changed = false;
 }
