Add the daemon's health state and the evaluator's decisions

Cause: detection and ejection were decided in the library only. Ruled out: store calls on the control thread, which a slow table would block; health state for all 74,000 upstreams, which would exceed the control budget. Change: service_evaluation turns held upstreams into orders, ejection_worker carries them out on the store thread, fleet_health tracks services in use. Conclusion: builds; behaviour of the daemon is unchanged by this commit.

--- /dev/null
+++ b/src/daemon/ejection_worker.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "health/ejection_ledger.h"
+#include "health/service_evaluation.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// Carries out ejection orders on the store thread, since the table service may be slow.
+class ejection_worker {
+public:
+    /// Receives the row that an order led to; called on the store thread.
+    using row_hook = std::function<void(const ejection_order&, const aged_row&)>;
+
+    /// @param tables the table service.
+    /// @param time the clock.
+    /// @param writer identity of this daemon and its incarnation.
+    /// @param written receives the rows.
+    ejection_worker(table_service& tables, const clock& time, const std::string& writer,
+                    row_hook written);
+
+    /// Carries out one order.
+    /// @param order the order.
+    void carry_out(const ejection_order& order);
+
+private:
+    result<aged_row> apply(const ejection_order& order);
+
+    ejection_ledger m_ledger;
+    row_hook m_written;
+};
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/daemon/fleet_health.cpp
@@ -0,0 +1,270 @@
+#include "daemon/fleet_health.h"
+
+#include "health/evaluator_selection.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaroad {
+
+namespace {
+
+// Rows travel with the time for which they are still of use.
+constexpr auto row_lifetime = ejection_row::validity + ejection_row::grace;
+// Smaller changes of a preference do not justify a new routing snapshot.
+constexpr double least_change = 0.02;
+
+} // namespace
+
+fleet_health::fleet_health(std::string own_name, const clock& time)
+    : m_own_name(std::move(own_name)), m_clock(time)
+{
+}
+
+void fleet_health::update(std::shared_ptr<const membership_view> members,
+                          std::shared_ptr<const configuration_snapshot> contracts)
+{
+    m_members = std::move(members);
+    m_contracts = std::move(contracts);
+    const auto* own = m_members->find(m_own_name);
+    if (own != nullptr) {
+        for (const auto& announced : own->record->upstreams) {
+            track(*announced.service).is_owned = true;
+        }
+    }
+    update_capacities();
+}
+
+void fleet_health::observe(const attempt_observation& ended)
+{
+    const auto now = m_clock.steady_now();
+    auto& tracked = track(ended.service);
+    tracked.last_use = now;
+    if (ended.has_report) {
+        tracked.health.report(ended.target, ended.report, now);
+    }
+    if (!ended.is_evidence) {
+        return;
+    }
+    if (ended.target.instance == m_own_name) {
+        tracked.health.record(ended.target, ended.attempt, now);
+        return;
+    }
+    const bool was_marked = m_links.is_marked(ended.target.instance, now);
+    const auto fault = m_links.record(ended.target, ended.link, now);
+    if (fault != fault_attribution::link) {
+        tracked.health.record(ended.target, ended.attempt, now);
+        return;
+    }
+    if (!was_marked) {
+        tracked.health.discard_evidence(ended.target);
+    }
+}
+
+void fleet_health::receive(const ejection_row_copy& copy)
+{
+    auto row = ejection_row::parse(copy.row);
+    if (!row) {
+        return;
+    }
+    const auto age = std::max(row_lifetime - copy.remaining, std::chrono::milliseconds(0));
+    if (m_view.receive({std::move(*row), age}, m_clock.steady_now())) {
+        track(copy.service);
+    }
+}
+
+ejection_row_copy fleet_health::written(const ejection_order& order, const aged_row& row)
+{
+    const auto now = m_clock.steady_now();
+    m_view.receive(row, now);
+    if (order.kind == ejection_order_kind::propose) {
+        track(row.row.service).evaluation.granted(order.upstream, now);
+    }
+    return {row.row.service, row.row.sequence, row.row.text(), row_lifetime - row.age};
+}
+
+std::vector<ejection_order> fleet_health::tick(const std::vector<running_attempt>& open)
+{
+    std::vector<ejection_order> orders;
+    if (!m_members) {
+        return orders;
+    }
+    const auto now = m_clock.steady_now();
+    m_view.control_loop_ran(now);
+    forget_idle();
+    if (m_has_new_services) {
+        update_capacities();
+    }
+    pass_open_attempts(open);
+    for (auto& [service, tracked] : m_services) {
+        tracked.health.evaluate(now);
+        if (tracked.is_evaluator) {
+            const auto wishes = tracked.health.ejection_wishes(now);
+            for (auto& order : tracked.evaluation.decide(tracked.capacity, wishes, now)) {
+                orders.push_back(std::move(order));
+            }
+        }
+        update_preferences(service, tracked);
+    }
+    return orders;
+}
+
+std::set<service_id> fleet_health::take_changed()
+{
+    return std::exchange(m_changed, {});
+}
+
+double fleet_health::preference(const service_id& service, const upstream_id& upstream) const
+{
+    const auto tracked = m_services.find(service);
+    if (tracked == m_services.end()) {
+        return 1.0;
+    }
+    const auto found = tracked->second.preferences.find(upstream);
+    return found == tracked->second.preferences.end() ? 1.0 : found->second;
+}
+
+owner_report fleet_health::report_for(const service_id& service, const upstream_id& upstream) const
+{
+    const auto tracked = m_services.find(service);
+    if (tracked == m_services.end()) {
+        return {};
+    }
+    return tracked->second.health.report_for(upstream, m_clock.steady_now());
+}
+
+fleet_health::tracked_service& fleet_health::track(const service_id& service)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end()) {
+        return found->second;
+    }
+    const auto* known = declared(service);
+    const auto policy = known == nullptr ? detection_policy::careful : known->policy;
+    auto& added = m_services.emplace(service, tracked_service(settings_for(policy))).first->second;
+    added.last_use = m_clock.steady_now();
+    m_has_new_services = true;
+    return added;
+}
+
+void fleet_health::update_capacities()
+{
+    m_has_new_services = false;
+    std::map<service_id, service_capacity> capacities;
+    for (auto& [service, tracked] : m_services) {
+        const auto* known = declared(service);
+        capacities[service] = {service, known == nullptr ? 0 : known->floor_slots, {}};
+    }
+    for (const auto& known : m_members->members()) {
+        add_member(known, capacities);
+    }
+    for (auto& [service, tracked] : m_services) {
+        const bool is_new = tracked.capacity.service != service;
+        replace_members(tracked, std::move(capacities[service]), is_new);
+    }
+}
+
+void fleet_health::add_member(const member& known,
+                              std::map<service_id, service_capacity>& capacities) const
+{
+    if (!membership_view::accepts_work(known)) {
+        return;
+    }
+    for (const auto& announced : known.record->upstreams) {
+        const auto found = capacities.find(*announced.service);
+        if (found != capacities.end() && announced.state != upstream_state::leaving) {
+            found->second.members.push_back(
+                {{known.record->name, announced.name}, known.record->incarnation, announced.slots});
+        }
+    }
+}
+
+// Upstreams that were known before this daemon tracked their service are past their cold start.
+void fleet_health::replace_members(tracked_service& tracked, service_capacity capacity, bool is_new)
+{
+    const auto now = m_clock.steady_now();
+    std::vector<std::string> owners;
+    for (const auto& each : capacity.members) {
+        owners.push_back(each.upstream.instance);
+        const auto* previous = tracked.capacity.find(each.upstream);
+        if (is_new) {
+            tracked.health.assume_warm(each.upstream);
+        }
+        else if (previous == nullptr || previous->incarnation != each.incarnation) {
+            tracked.health.announce(each.upstream, now);
+        }
+    }
+    for (const auto& each : tracked.capacity.members) {
+        if (capacity.find(each.upstream) == nullptr) {
+            tracked.health.depart(each.upstream);
+            tracked.preferences.erase(each.upstream);
+        }
+    }
+    tracked.is_evaluator = evaluator_of(capacity.service, owners) == m_own_name;
+    tracked.capacity = std::move(capacity);
+}
+
+void fleet_health::forget_idle()
+{
+    const auto now = m_clock.steady_now();
+    for (auto each = m_services.begin(); each != m_services.end();) {
+        const bool is_idle = !each->second.is_owned && now - each->second.last_use >= idle_time;
+        each = is_idle ? m_services.erase(each) : std::next(each);
+    }
+}
+
+void fleet_health::pass_open_attempts(const std::vector<running_attempt>& open)
+{
+    const auto now = m_clock.steady_now();
+    std::map<service_id, std::map<upstream_id, std::vector<open_attempt>>> sorted;
+    for (const auto& each : open) {
+        if (!m_links.is_marked(each.target.instance, now)) {
+            sorted[each.service][each.target].push_back(each.attempt);
+        }
+    }
+    for (auto& [service, tracked] : m_services) {
+        auto& of_service = sorted[service];
+        for (const auto& each : tracked.capacity.members) {
+            tracked.health.running(each.upstream, std::move(of_service[each.upstream]));
+        }
+    }
+}
+
+void fleet_health::update_preferences(const service_id& service, tracked_service& tracked)
+{
+    const auto now = m_clock.steady_now();
+    for (const auto& [upstream, standing] : m_view.standings(tracked.capacity, now)) {
+        auto& held = tracked.preferences.try_emplace(upstream, 1.0).first->second;
+        double next = -1;
+        if (standing != upstream_standing::excluded) {
+            if (held < 0) {
+                tracked.health.returned(upstream, now);
+            }
+            const bool is_least_preferred = standing == upstream_standing::least_preferred ||
+                                            m_links.is_marked(upstream.instance, now);
+            next = is_least_preferred ? outlier_detector::sick_preference
+                                      : tracked.health.preference(upstream, now);
+        }
+        if (std::abs(next - held) >= least_change || (next < 0) != (held < 0)) {
+            held = next;
+            m_changed.insert(service);
+        }
+    }
+}
+
+const service* fleet_health::declared(const service_id& service) const
+{
+    if (!m_contracts) {
+        return nullptr;
+    }
+    const auto found = m_contracts->contracts.find(service.business);
+    if (found == m_contracts->contracts.end()) {
+        return nullptr;
+    }
+    const auto& services = found->second->services;
+    const auto match = std::find_if(services.begin(), services.end(),
+                                    [&](const auto& each) { return each.name == service.service; });
+    return match == services.end() ? nullptr : &*match;
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/health/service_evaluation.cpp
@@ -0,0 +1,70 @@
+#include "health/service_evaluation.h"
+
+#include <algorithm>
+
+namespace galenaroad {
+
+namespace {
+
+bool contains(const std::vector<upstream_id>& list, const upstream_id& id)
+{
+    return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+} // namespace
+
+std::vector<ejection_order> service_evaluation::decide(const service_capacity& capacity,
+                                                       const std::vector<ejection_wish>& wishes,
+                                                       steady_time now)
+{
+    std::vector<ejection_order> orders;
+    for (const auto& wish : wishes) {
+        if (!contains(m_ejected, wish.upstream) && may_propose(wish.upstream, now)) {
+            orders.push_back(
+                {ejection_order_kind::propose, capacity, wish.upstream, wish.reason, {}});
+        }
+    }
+    release_recovered(capacity, wishes, orders);
+    if (!m_ejected.empty() && now - m_renewed >= renewal_interval) {
+        m_renewed = now;
+        orders.push_back({ejection_order_kind::renew, capacity, {}, {}, m_ejected});
+    }
+    return orders;
+}
+
+void service_evaluation::granted(const upstream_id& upstream, steady_time now)
+{
+    if (!contains(m_ejected, upstream)) {
+        m_ejected.push_back(upstream);
+    }
+    m_renewed = now;
+}
+
+bool service_evaluation::may_propose(const upstream_id& upstream, steady_time now)
+{
+    const auto last = m_proposed.find(upstream);
+    if (last != m_proposed.end() && now - last->second < proposal_interval) {
+        return false;
+    }
+    m_proposed[upstream] = now;
+    return true;
+}
+
+void service_evaluation::release_recovered(const service_capacity& capacity,
+                                           const std::vector<ejection_wish>& wishes,
+                                           std::vector<ejection_order>& orders)
+{
+    std::vector<upstream_id> kept;
+    for (const auto& id : m_ejected) {
+        const bool is_wished = std::any_of(wishes.begin(), wishes.end(),
+                                           [&](const auto& wish) { return wish.upstream == id; });
+        if (is_wished) {
+            kept.push_back(id);
+            continue;
+        }
+        orders.push_back({ejection_order_kind::release, capacity, id, {}, {}});
+    }
+    m_ejected = std::move(kept);
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/health/service_evaluation.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/clock.h"
+#include "health/ejection_row.h"
+#include "health/service_health.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// Kind of change that an evaluator asks the table service for.
+enum class ejection_order_kind { propose, renew, release };
+
+/// A change of a service's row. Carried out by an ejection_ledger off the control thread.
+struct ejection_order {
+    ejection_order_kind kind = ejection_order_kind::propose;
+    service_capacity capacity;
+    upstream_id upstream;               ///< For propose and release.
+    std::string reason;                 ///< For propose.
+    std::vector<upstream_id> upstreams; ///< For renew.
+};
+
+/// Decides which changes of a service's row the service's evaluator asks for.
+class service_evaluation {
+public:
+    /// Renewals leave two thirds of the validity for a slow store.
+    static constexpr std::chrono::seconds renewal_interval{10};
+    static constexpr std::chrono::seconds proposal_interval{1};
+
+    /// Compares what should be ejected with what is.
+    /// @param capacity the live members and the floor.
+    /// @param wishes the upstreams that are held.
+    /// @param now the current time.
+    /// @return the changes to carry out.
+    std::vector<ejection_order> decide(const service_capacity& capacity,
+                                       const std::vector<ejection_wish>& wishes, steady_time now);
+
+    /// Notes that an ejection was granted.
+    /// @param upstream the upstream.
+    /// @param now the current time.
+    void granted(const upstream_id& upstream, steady_time now);
+
+    /// @return the upstreams whose ejections this evaluator renews.
+    const std::vector<upstream_id>& ejected() const { return m_ejected; }
+
+private:
+    bool may_propose(const upstream_id& upstream, steady_time now);
+    void release_recovered(const service_capacity& capacity,
+                           const std::vector<ejection_wish>& wishes,
+                           std::vector<ejection_order>& orders);
+
+    std::map<upstream_id, steady_time> m_proposed;
+    std::vector<upstream_id> m_ejected;
+    steady_time m_renewed;
+};
+
+} // namespace galenaroad
