Keep actions from running twice on the request path

Cause: orders must be claimed before dispatch and repeated requests must receive the recorded response. Ruled out: claims inside the forwarder, since an attempt id has to stay the same over all attempts of one claim. Change: action_forwarder asks the action gate before dispatch, records the response while it streams and passes issued keys on to their issuer by IssuedAction; POST /v1/idempotency-keys issues a key; unconfirmed settlements are written again on the store thread. Conclusion: keys work through any daemon; with a caller's key and no store an order is refused as not run.

--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -45,7 +45,9 @@
       m_ids(seeded_engine()),
       m_owner(make_owner_parts()),
       m_forwarder(make_entry_parts()),
-      m_entry{m_clock, m_published.view, m_gate, m_ids, m_forwarder},
+      m_action_forwarder(m_forwarder, [this] { return std::atomic_load(&m_actions); }),
+      m_issued_actions(m_clock, m_gate, m_published.view, m_action_forwarder),
+      m_entry(make_entry_context()),
       m_admin(make_admin_actions()),
       m_control(make_control_parts(), std::move(contracts), seeded_engine()),
       m_peer_server(make_peer_handlers(), m_settings.workers.peer_threads),
@@ -77,6 +79,8 @@
         return tl::make_unexpected(peer.error());
     }
     m_control.start(*peer);
+    m_peer_address = *peer;
+    follow_incarnation();
     const auto admin = m_admin_listener.start(m_settings.admin_address);
     if (!admin) {
         return tl::make_unexpected(admin.error());
@@ -116,7 +120,45 @@
             m_objects,
             m_published,
             [this](const std::string& address) { m_backends.forget(address); },
-            [] {}};
+            [this] { store_round(); }};
+}
+
+entry_context proxy_daemon::make_entry_context()
+{
+    return {m_clock,
+            m_published.view,
+            m_gate,
+            m_ids,
+            m_action_forwarder,
+            [this]() -> result<std::string> {
+                const auto actions = std::atomic_load(&m_actions);
+                if (!actions) {
+                    return tl::make_unexpected(make_error_code(error_kind::internal));
+                }
+                return actions->issue_key();
+            }};
+}
+
+// The incarnation can rise until the daemon has joined; keys of the earlier one are then unknown.
+void proxy_daemon::follow_incarnation()
+{
+    const auto held = std::atomic_load(&m_actions);
+    const auto incarnation = m_published.incarnation.load();
+    if (held && held->incarnation() == incarnation) {
+        return;
+    }
+    const daemon_identity identity{m_settings.instance, m_peer_address, incarnation};
+    std::atomic_store(&m_actions,
+                      std::make_shared<action_services>(identity, m_tables, m_objects, m_clock,
+                                                        m_published.view, seeded_engine()));
+}
+
+void proxy_daemon::store_round()
+{
+    if (const auto actions = std::atomic_load(&m_actions)) {
+        follow_incarnation();
+        actions->retry_pending();
+    }
 }
 
 owner_parts proxy_daemon::make_owner_parts()
@@ -141,6 +183,9 @@
 {
     peer_handlers handlers;
     handlers.forward = [this](auto& context, auto& stream) { m_owner.handle(context, stream); };
+    handlers.issued_action = [this](auto& /*context*/, auto& stream) {
+        m_issued_actions.handle(stream);
+    };
     handlers.fence = [this](const auto& request) { return m_owner.fence(request); };
     m_control.add_handlers(handlers);
     return handlers;
--- a/src/daemon/proxy_daemon.h
+++ b/src/daemon/proxy_daemon.h
@@ -10,6 +10,7 @@
 #include "platform/http_table_service.h"
 #include "proxy/entry_handler.h"
 #include "proxy/http_listener.h"
+#include "proxy/issued_action_handler.h"
 #include "proxy/owner_dispatcher.h"
 #include "settings/daemon_settings.h"
 
@@ -41,9 +42,13 @@
     entry_parts make_entry_parts();
     peer_handlers make_peer_handlers();
     admin_actions make_admin_actions();
+    entry_context make_entry_context();
+    void follow_incarnation();
+    void store_round();
     result<bound_addresses> bind();
 
     daemon_settings m_settings;
+    std::string m_peer_address; ///< Set before any request is accepted.
     process_clock m_clock;
     http_table_service m_tables;
     http_object_store m_objects;
@@ -56,6 +61,9 @@
     id_source m_ids;
     owner_dispatcher m_owner;
     forwarder m_forwarder;
+    std::shared_ptr<action_services> m_actions; ///< Accessed by std::atomic_load and atomic_store.
+    action_forwarder m_action_forwarder;
+    issued_action_handler m_issued_actions;
     entry_context m_entry;
     admin_actions m_admin;
     control_shell m_control;
--- a/src/proxy/entry_handler.cpp
+++ b/src/proxy/entry_handler.cpp
@@ -5,6 +5,7 @@
 #include "proxy/request_reader.h"
 
 #include <Poco/Exception.h>
+#include <nlohmann/json.hpp>
 #include <optional>
 
 namespace galenaroad {
@@ -14,6 +15,8 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
+constexpr auto key_path = "/v1/idempotency-keys";
+
 call_context::header_lookup lookup_in(const HTTPServerRequest& request)
 {
     return [&request](std::string_view name) -> std::optional<std::string> {
@@ -91,11 +94,28 @@
     if (!m_parts.gate.enter_entry(depth)) {
         return attempt_result::failed(error_kind::leaving, "The instance is shutting down");
     }
-    auto outcome = route(*read, header, sink, connection);
+    const bool is_key_request = read->method == "POST" && read->path == key_path;
+    auto outcome = is_key_request ? issue_key(sink) : route(*read, header, sink, connection);
     m_parts.gate.leave_entry();
     return outcome;
 }
 
+attempt_result entry_handler::issue_key(answer_sink& sink) const
+{
+    const auto key = m_parts.issue_key();
+    if (!key) {
+        return attempt_result::failed(kind_of(key.error()), "No key can be issued now");
+    }
+    const auto text = nlohmann::json{{"key", *key}}.dump();
+    answer_head head;
+    head.status = Poco::Net::HTTPResponse::HTTP_CREATED;
+    head.headers = {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}};
+    head.content_length = static_cast<std::int64_t>(text.size());
+    attempt_result outcome;
+    outcome.sink_gone = !sink.begin(head) || !sink.write(text);
+    return outcome;
+}
+
 attempt_result entry_handler::route(entry_request& request,
                                     const call_context::header_lookup& header,
                                     http_answer_sink& sink, server_connection& connection)
@@ -113,15 +133,12 @@
     if (request.content_length > max_body) {
         return attempt_result::failed(error_kind::request_too_large, "The body is too large");
     }
-    if (declared.key_required && request.idempotency_key.empty()) {
-        return attempt_result::failed(error_kind::key_required, "");
-    }
     const auto context =
         call_context::from_headers(header, declared.timeout, m_parts.time.steady_now());
     if (!context) {
         return attempt_result::failed(kind_of(context.error()), "");
     }
-    forward_order order{request, std::move(view), matched, *context};
+    forward_order order{request, std::move(view), matched, *context, {}, false};
     return forward(order, sink, connection);
 }
 
@@ -130,13 +147,13 @@
 {
     const auto framing = framing_of(order.request, order.route.declared->max_body_bytes);
     http_body_source source(connection, framing, m_parts.time, order.context.deadline);
-    replayable_body body(source);
+    replayable_body body(source, action_forwarder::kept_bytes(order));
     // A short body is complete before anything runs, so an upload that breaks off runs nothing.
     const auto state = body.read_all();
     if (state != body_state::complete && state != body_state::more) {
         return incomplete_request(state);
     }
-    auto outcome = m_parts.forward.forward(order, body, sink);
+    auto outcome = m_parts.forward.run(order, body, sink);
     m_body_consumed = source.consumed();
     return outcome;
 }
--- a/src/proxy/entry_handler.h
+++ b/src/proxy/entry_handler.h
@@ -1,13 +1,14 @@
 #pragma once
 
+#include "proxy/action_forwarder.h"
 #include "proxy/entry_request.h"
 #include "proxy/fleet_view.h"
-#include "proxy/forwarder.h"
 #include "proxy/http_answer_sink.h"
 #include "proxy/snapshot_cell.h"
 #include "proxy/work_gate.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
+#include <functional>
 
 namespace galenaroad {
 
@@ -17,7 +18,8 @@
     const snapshot_cell<fleet_view>& view;
     work_gate& gate;
     id_source& ids;
-    forwarder& forward;
+    action_forwarder& forward;
+    std::function<result<std::string>()> issue_key; ///< Issues an idempotency key.
 };
 
 /// Handles one request of a caller.
@@ -30,14 +32,14 @@
                        Poco::Net::HTTPServerResponse& response) override;
 
 private:
-    using exchange_result = attempt_result;
-
-    exchange_result handle(Poco::Net::HTTPServerRequest& request, http_answer_sink& sink,
+    attempt_result handle(Poco::Net::HTTPServerRequest& request, http_answer_sink& sink,
+                          server_connection& connection);
+    attempt_result route(entry_request& request, const call_context::header_lookup& header,
+                         http_answer_sink& sink, server_connection& connection);
+    attempt_result forward(forward_order& order, http_answer_sink& sink,
                            server_connection& connection);
-    exchange_result route(entry_request& request, const call_context::header_lookup& header,
-                          http_answer_sink& sink, server_connection& connection);
-    exchange_result forward(forward_order& order, http_answer_sink& sink,
-                            server_connection& connection);
+
+    attempt_result issue_key(answer_sink& sink) const;
 
     const entry_context& m_parts;
     std::string m_request_id;
--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -61,7 +61,8 @@
     m_request_id = head.request_id();
     grpc::ClientContext context;
     context.set_deadline(std::chrono::system_clock::now() + left);
-    const auto call = m_client->stub->Forward(&context);
+    auto& stub = *m_client->stub;
+    const auto call = m_issued_action ? stub.IssuedAction(&context) : stub.Forward(&context);
     const auto guard = m_guard.arm(times.head_by, [&] {
         m_head_late = true;
         context.TryCancel();
--- a/src/proxy/forward_attempt.h
+++ b/src/proxy/forward_attempt.h
@@ -39,6 +39,9 @@
     /// @param time the clock.
     forward_attempt(std::shared_ptr<const peer_client> client, watchdog& guard, const clock& time);
 
+    /// Sends the request as an action to the daemon that issued its key.
+    void use_issued_action() { m_issued_action = true; }
+
     /// Runs the attempt.
     /// @param head the request's head, without the remaining time.
     /// @param body its body.
@@ -71,6 +74,7 @@
     std::string m_request_id;
     steady_time m_started;
     std::atomic<bool> m_head_late{false};
+    bool m_issued_action = false;
     bool m_ended = false; ///< The owner has sent a trailer or an error.
 };
 
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -12,11 +12,6 @@
     std::vector<upstream_id> tried;
     int attempts = 0;
     bool retry_granted = false;
-
-    std::string attempt_id(const entry_request& request) const
-    {
-        return request.id + "-" + std::to_string(attempts);
-    }
 };
 
 namespace {
@@ -66,6 +61,23 @@
     return outcome;
 }
 
+attempt_result forwarder::pass_on(forward_order& order, replayable_body& body, answer_sink& sink,
+                                  const std::string& issuer_address)
+{
+    body.rewind();
+    const auto deadline = order.context.deadline;
+    forward_attempt call(m_parts.clients.client(issuer_address), m_parts.guard, m_parts.time);
+    call.use_issued_action();
+    auto outcome = call.run(head_of(order), body, sink, {deadline, deadline},
+                            [](int /*status*/) { return true; })
+                       .result;
+    // An earlier request with the key may have run at the issuer, which cannot be asked now.
+    if (outcome.kind == error_kind::peer_unreachable) {
+        return attempt_result::failed(error_kind::outcome_unknown, "The issuer of the key");
+    }
+    return outcome;
+}
+
 const upstream_candidate* forwarder::select(const forward_order& order, progress& state) const
 {
     const auto* const candidates = order.view->routing->candidates(service_of(order));
@@ -95,8 +107,12 @@
         return !state.retry_granted;
     };
     target.load->request_started();
+    auto head = head_of(order);
+    head.set_attempt_id(attempt_id_of(order, state));
+    head.set_upstream(target.announced().name);
+    head.set_owner_incarnation(target.owner_incarnation());
     const auto outcome =
-        call.run(head_of(order, target, state), body, sink, times_of(order, body, state), accepts);
+        call.run(std::move(head), body, sink, times_of(order, body, state), accepts);
     target.load->request_finished();
     note_end(order, target, outcome, started);
     const bool is_silent =
@@ -106,7 +122,7 @@
     }
     if (outcome.result.run == run_state::unknown && !outcome.result.answer_started &&
         !is_idempotent(order)) {
-        return settle_by_fence(order, target, state.attempt_id(order.request), outcome.result);
+        return settle_by_fence(order, target, attempt_id_of(order, state), outcome.result);
     }
     return outcome.result;
 }
@@ -153,24 +169,26 @@
                                                            m_parts.time.steady_now());
 }
 
-peer::RequestHead forwarder::head_of(const forward_order& order, const upstream_candidate& target,
-                                     const progress& state) const
+std::string forwarder::attempt_id_of(const forward_order& order, const progress& state)
+{
+    return order.attempt_id.empty() ? order.request.id + "-" + std::to_string(state.attempts)
+                                    : order.attempt_id;
+}
+
+peer::RequestHead forwarder::head_of(const forward_order& order)
 {
     const auto& request = order.request;
     const auto& route = *order.route.declared;
     peer::RequestHead head;
     head.set_request_id(request.id);
-    head.set_attempt_id(state.attempt_id(request));
     head.set_business(std::string(order.route.business));
     head.set_service(route.service);
-    head.set_upstream(target.announced().name);
     head.set_method(request.method);
     head.set_target(request.target);
     head.set_depth(static_cast<std::uint32_t>(order.context.depth));
     head.set_retry_budget(static_cast<std::uint32_t>(order.context.retries_left));
     head.set_traceparent(request.traceparent);
     head.set_configuration_version(order.view->contract_version(head.business()));
-    head.set_owner_incarnation(target.owner_incarnation());
     head.set_work_class(static_cast<std::uint32_t>(route.work));
     head.set_once(route.once);
     head.set_content_length(request.content_length);
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -42,6 +42,10 @@
     std::shared_ptr<const fleet_view> view;
     matched_route route;
     call_context context;
+    /// Attempt id for all attempts of an action; a further attempt follows only on proof that the
+    /// earlier one did not run. Empty for a new id with each attempt.
+    std::string attempt_id;
+    bool passed_on = false; ///< Another daemon has passed the request on to this one.
 };
 
 /// Forwards a request to owner daemons: selects upstreams, makes attempts and retries.
@@ -50,6 +54,15 @@
     /// @param parts what the entry role uses.
     explicit forwarder(entry_parts parts);
 
+    /// Passes a request on to the daemon that issued its idempotency key.
+    /// @param order the request.
+    /// @param body its body.
+    /// @param sink receives the response.
+    /// @param issuer_address the issuer's peer address.
+    /// @return the outcome.
+    attempt_result pass_on(forward_order& order, replayable_body& body, answer_sink& sink,
+                           const std::string& issuer_address);
+
     /// Forwards a request.
     /// @param order the request.
     /// @param body its body.
@@ -67,8 +80,8 @@
                                    const std::string& attempt_id, attempt_result outcome);
     bool may_retry(forward_order& order, const attempt_result& outcome, const replayable_body& body,
                    progress& state);
-    peer::RequestHead head_of(const forward_order& order, const upstream_candidate& target,
-                              const progress& state) const;
+    static peer::RequestHead head_of(const forward_order& order);
+    static std::string attempt_id_of(const forward_order& order, const progress& state);
     attempt_times times_of(const forward_order& order, const replayable_body& body,
                            const progress& state) const;
     void note_end(const forward_order& order, const upstream_candidate& target,
--- a/src/proxy/replayable_body.cpp
+++ b/src/proxy/replayable_body.cpp
@@ -12,7 +12,10 @@
 
 } // namespace
 
-replayable_body::replayable_body(body_source& source) : m_source(source) {}
+replayable_body::replayable_body(body_source& source, std::size_t max_kept_bytes)
+    : m_source(source), m_max_kept_bytes(max_kept_bytes)
+{
+}
 
 body_read replayable_body::read(char* buffer, std::size_t capacity)
 {
@@ -32,7 +35,7 @@
 {
     std::vector<char> buffer(read_step);
     while (m_source_state == body_state::more && m_replayable) {
-        read(buffer.data(), std::min(buffer.size(), max_kept_bytes + 1 - m_kept.size()));
+        read(buffer.data(), std::min(buffer.size(), m_max_kept_bytes + 1 - m_kept.size()));
     }
     return m_source_state;
 }
@@ -51,7 +54,7 @@
     if (!m_replayable) {
         return;
     }
-    if (m_kept.size() + size > max_kept_bytes) {
+    if (m_kept.size() + size > m_max_kept_bytes) {
         m_replayable = false;
         m_kept.clear();
         m_kept.shrink_to_fit();
--- a/src/proxy/replayable_body.h
+++ b/src/proxy/replayable_body.h
@@ -10,10 +10,11 @@
 class replayable_body : public body_source {
 public:
     /// Longer bodies are streamed once; a failed attempt is then final.
-    static constexpr std::size_t max_kept_bytes = std::size_t{64} * 1024;
+    static constexpr std::size_t default_kept_bytes = std::size_t{64} * 1024;
 
     /// @param source the body; must outlive this object.
-    explicit replayable_body(body_source& source);
+    /// @param max_kept_bytes the greatest length of a body that is kept.
+    explicit replayable_body(body_source& source, std::size_t max_kept_bytes = default_kept_bytes);
 
     body_read read(char* buffer, std::size_t capacity) override;
 
@@ -35,6 +36,7 @@
     void keep(const char* buffer, std::size_t size);
 
     body_source& m_source;
+    std::size_t m_max_kept_bytes;
     std::string m_kept;
     std::size_t m_position = 0;
     bool m_replayable = true;
--- a/src/tests/proxy_daemon_test.cpp
+++ b/src/tests/proxy_daemon_test.cpp
@@ -175,3 +175,45 @@
     }
     CHECK(fleet.process("ash-b").wait() == 0);
 }
+
+TEST_CASE("proxy_daemon: an issued key runs its action once, whoever receives it", "[daemon]")
+{
+    // Guards against a second run when a request with the same key arrives at another daemon, and
+    // against a key that is accepted for a different request.
+    two_daemons fleet;
+    fleet.start_backend("orders-1", "orders", "ash-b");
+    const auto key_answer = fleet.send("ash-a", {"POST", "/v1/idempotency-keys"});
+    REQUIRE(key_answer.status == 201);
+    const std::string key = key_answer.json()["key"];
+    const test_request order{"POST", "/orders/1", "belt", {{"Idempotency-Key", key}}};
+    REQUIRE(test_fleet::wait_until([&] { return fleet.send("ash-a", order).status == 201; }));
+    const auto first = fleet.send("ash-a", order);
+    const auto second = fleet.send("ash-b", order);
+    CHECK(first.status == 201);
+    CHECK(second.status == 201);
+    CHECK(second.body == first.body);
+    auto changed = order;
+    changed.body = "two belts";
+    CHECK(fleet.send("ash-b", changed).json()["kind"] == "key_reused");
+    const auto actions =
+        test_fleet::send_to(fleet.address("orders-1", "address"), {"GET", "/_actions"});
+    INFO(actions.body);
+    CHECK(actions.json().dump().find("\"belt\"") != std::string::npos);
+    CHECK(actions.json().dump().find("\"belt\"") == actions.json().dump().rfind("\"belt\""));
+}
+
+TEST_CASE("proxy_daemon: a caller's key is refused as not run without the store", "[daemon]")
+{
+    // Guards against an order that is dispatched although its key could not be claimed.
+    two_daemons fleet;
+    fleet.start_backend("orders-1", "orders", "ash-b");
+    const test_request order{"POST", "/orders/1", "belt", {{"Idempotency-Key", "shop-17"}}};
+    const auto unkeyed = [&] { return fleet.send("ash-a", {"POST", "/orders/2", "x"}).status; };
+    REQUIRE(test_fleet::wait_until([&] { return unkeyed() == 201; }));
+    const auto answer = fleet.send("ash-a", order);
+    CHECK(answer.json()["kind"] == "store_unavailable");
+    CHECK(answer.json()["run"] == "not_run");
+    const auto actions =
+        test_fleet::send_to(fleet.address("orders-1", "address"), {"GET", "/_actions"});
+    CHECK(actions.body.find("belt") == std::string::npos);
+}
