--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -87,8 +87,9 @@
         used += encoded_bound(each);
         message.updates.changes.push_back(each);
     }
-    m_queue.fill(message.updates, used, send_limit(), m_ejections, m_clock.steady_now());
-    m_gossip.push_back({address, std::move(message)});
+    const auto now = m_clock.steady_now();
+    m_queue.fill(message.updates, used, send_limit(), m_ejections, now);
+    m_gossip.push_back({address, std::move(message), now});
 }
 
 void membership::receive(const gossip_message& message)
