Judge upstreams in the daemon from callers' and owners' observations

Cause: the running fleet did not set sick backend servers aside. Ruled out: counting own upstreams in both roles, since the owner already sees all of their work; full routing rebuilds for each change of a preference. Change: observations go to fleet_health on the control thread, its preferences steer routing, orders are carried out on the store thread and rows travel in gossip; response trailers carry the owner's report and the first-byte time.

--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto tick_interval = 50ms;
 constexpr auto store_interval = 200ms;
+constexpr auto judgement_interval = 100ms;
 
 } // namespace
 
@@ -82,6 +83,7 @@
 void control_shell::tick()
 {
     m_fleet.tick();
+    judge();
     send_waiting();
     for (const auto& address : m_fleet.take_gone()) {
         m_parts.upstream_gone(address);
@@ -104,6 +106,43 @@
     }
 }
 
+void control_shell::observe(attempt_observation ended)
+{
+    m_control.post_observation([this, ended = std::move(ended)] { m_fleet.observe(ended); });
+}
+
+void control_shell::judge()
+{
+    const auto now = m_parts.time.steady_now();
+    if (now - m_last_judgement < judgement_interval) {
+        return;
+    }
+    m_last_judgement = now;
+    m_fleet.judge(m_parts.open.attempts());
+    auto orders = m_fleet.take_orders();
+    if (!orders.empty()) {
+        m_store.post([this, orders = std::move(orders)] { carry_out(orders); });
+    }
+}
+
+void control_shell::carry_out(const std::vector<ejection_order>& orders)
+{
+    if (!m_ejections) {
+        const auto writer =
+            m_parts.settings.instance + '.' + std::to_string(m_parts.published.incarnation.load());
+        m_ejections = std::make_unique<ejection_worker>(m_parts.tables, m_parts.time, writer,
+                                                        [this](const auto& order, const auto& row) {
+                                                            m_control.post([this, order, row] {
+                                                                m_fleet.row_written(order, row);
+                                                                send_waiting();
+                                                            });
+                                                        });
+    }
+    for (const auto& order : orders) {
+        m_ejections->carry_out(order);
+    }
+}
+
 // Runs on the store thread: the table may be slow for a long time.
 void control_shell::store_round()
 {
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/control_thread.h"
+#include "daemon/ejection_worker.h"
 #include "daemon/fleet_control.h"
 #include "daemon/peer_messenger.h"
 #include "daemon/store_reader.h"
@@ -33,6 +34,7 @@
         std::function<void(const std::string& address)> upstream_gone;
         /// Called on the store thread in each of its rounds.
         std::function<void()> store_round;
+        const open_attempt_table& open;
     };
 
     /// @param used what the control side uses.
@@ -63,6 +65,10 @@
     /// Notes that a peer holds a version of a contract.
     void heard(const contract_head& head, const std::string& address);
 
+    /// Notes an attempt that ended; may be dropped when the control thread is behind.
+    /// @param ended the attempt.
+    void observe(attempt_observation ended);
+
     /// Queues work for the control thread that may be dropped when it is behind.
     /// @param work the work.
     void post_observation(control_thread::task work)
@@ -77,6 +83,8 @@
     void tick();
     void send_waiting();
     void store_round();
+    void judge();
+    void carry_out(const std::vector<ejection_order>& orders);
     void synchronise(const peer::SynchroniseRequest& request,
                      const peer_handlers::synchronise_writer& write);
     peer_messenger::events make_events();
@@ -87,8 +95,10 @@
     fleet_control m_fleet;
     configuration_reader m_table_reader;
     store_reader m_reader;
+    steady_time m_last_judgement;
     control_thread m_control;
     peer_messenger m_messenger;
+    std::unique_ptr<ejection_worker> m_ejections; ///< Used by the store thread only.
     control_thread m_store;
 };
 
--- a/src/daemon/fleet_control.cpp
+++ b/src/daemon/fleet_control.cpp
@@ -36,9 +36,13 @@
       m_registry(settings.instance, time),
       m_contracts([this](const contract& changed) { note_contract(changed); }),
       m_follower(m_contracts, time, [this] { return random_peer(); }),
+      m_health(settings.instance, time),
       m_routing(settings.instance, settings.location),
       m_started(time.steady_now())
 {
+    m_routing.preference([this](const service_id& service, const upstream_id& id) {
+        return m_health.preference(service, id);
+    });
 }
 
 void fleet_control::start(const std::string& peer_address)
@@ -160,6 +164,7 @@
     hooks.contract_head_received = [this](const auto& head, const auto& address) {
         m_follower.heard(head, address);
     };
+    hooks.ejection_row_received = [this](const auto& row) { m_health.receive(row); };
     hooks.contracts_differ = [this](const auto& address) { m_follower.differs(address); };
     return hooks;
 }
@@ -189,6 +194,36 @@
     m_published.upstreams.publish(m_registry.snapshot());
 }
 
+void fleet_control::judge(const std::vector<running_attempt>& open)
+{
+    for (auto& order : m_health.tick(open)) {
+        m_orders.push_back(std::move(order));
+    }
+    for (const auto& service : m_health.take_changed()) {
+        m_routing.mark_changed(service);
+        m_view_changed = true;
+    }
+    publish_reports();
+    publish_view();
+}
+
+void fleet_control::row_written(const ejection_order& order, const aged_row& row)
+{
+    const auto copy = m_health.written(order, row);
+    if (m_membership) {
+        m_membership->broadcast(copy);
+    }
+}
+
+void fleet_control::publish_reports()
+{
+    auto reports = std::make_shared<owner_reports>();
+    for (const auto& announced : m_registry.records()) {
+        (*reports)[announced.id.name] = m_health.report_for(announced.service, announced.id);
+    }
+    m_published.reports.publish(std::move(reports));
+}
+
 void fleet_control::publish_view()
 {
     const bool is_newly_ready = m_follower.ready() && !m_published.view.load()->ready;
@@ -199,6 +234,10 @@
     view->members = m_membership->view();
     view->contracts = m_contracts.snapshot();
     view->ready = m_follower.ready();
+    if (view->members != m_published.view.load()->members ||
+        view->contracts != m_published.view.load()->contracts) {
+        m_health.update(view->members, view->contracts);
+    }
     routing_snapshot_builder::contract_list contracts;
     for (const auto& [business, held] : view->contracts->contracts) {
         contracts.push_back(held);
--- a/src/daemon/fleet_control.h
+++ b/src/daemon/fleet_control.h
@@ -4,6 +4,7 @@
 #include "base/random_engine.h"
 #include "configuration/configuration_follower.h"
 #include "configuration/configuration_store.h"
+#include "daemon/fleet_health.h"
 #include "daemon/upstream_registry.h"
 #include "membership/membership.h"
 #include "proxy/fleet_view.h"
@@ -19,10 +20,14 @@
 
 namespace galenaroad {
 
+/// Reports on this instance's upstreams, by name.
+using owner_reports = std::map<std::string, owner_report>;
+
 /// Snapshots that the control thread publishes.
 struct published_state {
     snapshot_cell<fleet_view> view;
     snapshot_cell<local_upstreams> upstreams;
+    snapshot_cell<owner_reports> reports;
     std::atomic<std::uint64_t> incarnation{0};
 };
 
@@ -75,6 +80,22 @@
     /// @param address the peer's address.
     void heard(const contract_head& head, const std::string& address);
 
+    /// Notes an attempt that ended.
+    /// @param ended the attempt.
+    void observe(const attempt_observation& ended) { m_health.observe(ended); }
+
+    /// Judges the upstreams in use.
+    /// @param open the attempts that have not ended.
+    void judge(const std::vector<running_attempt>& open);
+
+    /// Takes over a row that the store thread has written.
+    /// @param order the order that led to it.
+    /// @param row the row.
+    void row_written(const ejection_order& order, const aged_row& row);
+
+    /// @return changes of rows to carry out; each is returned once.
+    std::vector<ejection_order> take_orders() { return std::exchange(m_orders, {}); }
+
     /// @return the membership; null before start().
     membership* members() { return m_membership.get(); }
 
@@ -94,6 +115,7 @@
     void use_initial_contracts();
     void publish_upstreams();
     void publish_view();
+    void publish_reports();
     void note_contract(const contract& changed);
 
     daemon_settings m_settings;
@@ -104,7 +126,9 @@
     upstream_registry m_registry;
     configuration_store m_contracts;
     configuration_follower m_follower;
+    fleet_health m_health;
     routing_snapshot_builder m_routing;
+    std::vector<ejection_order> m_orders;
     std::unique_ptr<membership> m_membership;
     std::vector<std::string> m_gone;
     steady_time m_started;
--- a/src/daemon/fleet_health.cpp
+++ b/src/daemon/fleet_health.cpp
@@ -43,10 +43,10 @@
     if (ended.has_report) {
         tracked.health.report(ended.target, ended.report, now);
     }
-    if (!ended.is_evidence) {
+    if (!ended.is_evidence || !counts(ended.target, ended.by_owner)) {
         return;
     }
-    if (ended.target.instance == m_own_name) {
+    if (ended.by_owner) {
         tracked.health.record(ended.target, ended.attempt, now);
         return;
     }
@@ -213,12 +213,18 @@
     }
 }
 
+// The owner role sees all work of the own upstreams; what the entry role sees is a part of it.
+bool fleet_health::counts(const upstream_id& target, bool by_owner) const
+{
+    return by_owner == (target.instance == m_own_name);
+}
+
 void fleet_health::pass_open_attempts(const std::vector<running_attempt>& open)
 {
     const auto now = m_clock.steady_now();
     std::map<service_id, std::map<upstream_id, std::vector<open_attempt>>> sorted;
     for (const auto& each : open) {
-        if (!m_links.is_marked(each.target.instance, now)) {
+        if (counts(each.target, each.by_owner) && !m_links.is_marked(each.target.instance, now)) {
             sorted[each.service][each.target].push_back(each.attempt);
         }
     }
--- a/src/daemon/fleet_health.h
+++ b/src/daemon/fleet_health.h
@@ -27,6 +27,7 @@
     bool is_evidence = true; ///< False when the attempt ended before it reached the upstream.
     owner_report report;     ///< What the owner told of the upstream; callers only.
     bool has_report = false;
+    bool by_owner = false; ///< Observed beside the upstream.
 };
 
 /// Health of the upstreams that this daemon calls or owns, and the ejections that it honours.
@@ -101,6 +102,7 @@
     void add_member(const member& known, std::map<service_id, service_capacity>& capacities) const;
     void replace_members(tracked_service& tracked, service_capacity capacity, bool is_new);
     void forget_idle();
+    bool counts(const upstream_id& target, bool by_owner) const;
     void pass_open_attempts(const std::vector<running_attempt>& open);
     void update_preferences(const service_id& service, tracked_service& tracked);
     const service* declared(const service_id& service) const;
--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/fleet_report.h"
 #include "daemon/handler_factory.h"
+#include "daemon/observation_mapping.h"
 #include "telemetry/structured_log.h"
 
 #include <Poco/Net/SocketAddress.h>
@@ -120,7 +121,8 @@
             m_objects,
             m_published,
             [this](const std::string& address) { m_backends.forget(address); },
-            [this] { store_round(); }};
+            [this] { store_round(); },
+            m_open};
 }
 
 entry_context proxy_daemon::make_entry_context()
@@ -168,15 +170,33 @@
             m_backends,
             m_published.upstreams,
             m_published.incarnation,
-            [](const owner_observation&) {},
+            [this](const owner_observation& seen) {
+                m_control.observe(observation_mapping::from_owner(seen, m_settings.instance,
+                                                                  m_clock.steady_now()));
+            },
             [this](const std::string& business) {
                 return m_published.view.load()->contract_version(business);
-            }};
+            },
+            [this](const std::string& upstream) {
+                const auto reports = m_published.reports.load();
+                const auto found = reports->find(upstream);
+                return found == reports->end() ? owner_report{} : found->second;
+            },
+            m_open,
+            m_settings.instance};
 }
 
 entry_parts proxy_daemon::make_entry_parts()
 {
-    return {m_clock, m_clients, m_watchdog, m_budgets, m_ids, [](const entry_observation&) {}};
+    return {m_clock,
+            m_clients,
+            m_watchdog,
+            m_budgets,
+            m_ids,
+            [this](const entry_observation& seen) {
+                m_control.observe(observation_mapping::from_entry(seen, m_clock.steady_now()));
+            },
+            m_open};
 }
 
 peer_handlers proxy_daemon::make_peer_handlers()
--- a/src/daemon/proxy_daemon.h
+++ b/src/daemon/proxy_daemon.h
@@ -57,6 +57,7 @@
     client_pool m_clients;
     backend_pool m_backends;
     watchdog m_watchdog;
+    open_attempt_table m_open;
     retry_budgets m_budgets;
     id_source m_ids;
     owner_dispatcher m_owner;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -33,6 +33,16 @@
     return is_idempotent_method && !route.once && route.work != request_class::action;
 }
 
+// Time that an attempt spends on links and in the owner's queue before the upstream starts it.
+std::chrono::milliseconds allowance_for(link_distance distance)
+{
+    constexpr std::chrono::milliseconds queue_wait(50);
+    constexpr std::chrono::milliseconds near_round_trip(4);
+    constexpr std::chrono::milliseconds region_round_trip(30);
+    return queue_wait +
+           (distance == link_distance::cross_region ? region_round_trip : near_round_trip);
+}
+
 bool is_server_failure(int status)
 {
     return status == 500 || status == 502 || status == 503 || status == 504;
@@ -106,6 +116,11 @@
         state.retry_granted = may_retry(order, failed, body, state);
         return !state.retry_granted;
     };
+    const open_attempt_table::guard running(
+        m_parts.open, {service_of(order),
+                       target.id(),
+                       {order.route.declared->work, started + allowance_for(target.distance)},
+                       false});
     target.load->request_started();
     auto head = head_of(order);
     head.set_attempt_id(attempt_id_of(order, state));
@@ -221,9 +236,18 @@
         target.load->report(static_cast<int>(outcome.trailer.slots_in_use()),
                             static_cast<int>(outcome.trailer.queued()), now);
     }
-    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - started);
-    m_parts.observe(
-        {service_of(order), target.id(), order.route.declared->work, outcome.result, elapsed});
+    entry_observation seen;
+    seen.service = service_of(order);
+    seen.target = target.id();
+    seen.work = order.route.declared->work;
+    seen.outcome = outcome.result;
+    seen.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(now - started);
+    seen.service_time = std::chrono::microseconds(outcome.trailer.service_time_us());
+    seen.first_byte = std::chrono::microseconds(outcome.trailer.first_byte_us());
+    constexpr double permille = 1000;
+    seen.report = {outcome.trailer.preference_permille() / permille,
+                   std::chrono::milliseconds(outcome.trailer.hold_ms())};
+    m_parts.observe(seen);
 }
 
 } // namespace galenaroad
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "base/clock.h"
+#include "health/service_health.h"
 #include "peer/client_pool.h"
 #include "proxy/answer_sink.h"
 #include "proxy/entry_request.h"
 #include "proxy/fleet_view.h"
 #include "proxy/forward_attempt.h"
 #include "proxy/id_source.h"
+#include "proxy/open_attempt_table.h"
 #include "proxy/replayable_body.h"
 #include "proxy/retry_budgets.h"
 #include "proxy/watchdog.h"
@@ -24,6 +26,9 @@
     request_class work = request_class::read;
     attempt_result outcome;
     std::chrono::microseconds elapsed{0};
+    std::chrono::microseconds service_time{0}; ///< As the owner reported it.
+    std::chrono::microseconds first_byte{0};   ///< As the owner reported it.
+    owner_report report;                       ///< Valid with a complete response.
 };
 
 /// Parts of the daemon that the entry role uses. All outlive the forwarder.
@@ -34,6 +39,7 @@
     retry_budgets& budgets;
     id_source& ids;
     std::function<void(const entry_observation&)> observe;
+    open_attempt_table& open;
 };
 
 /// A request with its route, ready to be forwarded.
--- a/src/proxy/open_attempt_table.h
+++ b/src/proxy/open_attempt_table.h
@@ -15,6 +15,7 @@
     service_id service;
     upstream_id target;
     open_attempt attempt;
+    bool by_owner = false; ///< Listed beside the upstream, not by a caller.
 };
 
 /// Attempts of this daemon that have not ended. Thread-safe.
--- a/src/proxy/owner_dispatcher.cpp
+++ b/src/proxy/owner_dispatcher.cpp
@@ -72,6 +72,13 @@
     return headers;
 }
 
+void add_report(const owner_report& report, peer::ResponseTrailer& trailer)
+{
+    constexpr double permille = 1000;
+    trailer.set_preference_permille(static_cast<std::uint32_t>(report.preference * permille));
+    trailer.set_hold_ms(static_cast<std::uint32_t>(report.hold_remaining.count()));
+}
+
 peer::FenceResponse::State to_message(attempt_state state)
 {
     switch (state) {
@@ -152,6 +159,11 @@
         return outcome;
     }
     const auto started = m_parts.time.steady_now();
+    const open_attempt_table::guard running(m_parts.open,
+                                            {target.announced.service,
+                                             {m_parts.instance, target.announced.id.name},
+                                             {run.work(), started},
+                                             true});
     auto outcome = start_and_run(run, target);
     run.service_time =
         std::chrono::duration_cast<std::chrono::microseconds>(m_parts.time.steady_now() - started);
@@ -222,6 +234,8 @@
         trailer.set_slots_in_use(static_cast<std::uint32_t>(run.load.in_use));
         trailer.set_queued(static_cast<std::uint32_t>(run.load.queued));
         trailer.set_configuration_version(m_parts.contract_version(run.head.business()));
+        trailer.set_first_byte_us(static_cast<std::uint32_t>(outcome.first_byte.count()));
+        add_report(m_parts.report(run.head.upstream()), trailer);
         run.sink.finish(std::move(trailer));
     }
     else if (!outcome.sink_gone) {
--- a/src/proxy/owner_dispatcher.h
+++ b/src/proxy/owner_dispatcher.h
@@ -2,11 +2,13 @@
 
 #include "action/attempt_registry.h"
 #include "base/clock.h"
+#include "health/service_health.h"
 #include "peer/peer_handlers.h"
 #include "proxy/attempt_result.h"
 #include "proxy/backend_order.h"
 #include "proxy/backend_pool.h"
 #include "proxy/local_upstream.h"
+#include "proxy/open_attempt_table.h"
 #include "proxy/snapshot_cell.h"
 #include "proxy/stream_answer_sink.h"
 #include "proxy/work_gate.h"
@@ -35,6 +37,9 @@
     const std::atomic<std::uint64_t>& incarnation;
     std::function<void(const owner_observation&)> observe;
     std::function<std::uint64_t(const std::string& business)> contract_version;
+    std::function<owner_report(const std::string& upstream)> report;
+    open_attempt_table& open;
+    std::string instance; ///< Name of this instance.
 };
 
 /// Handles forwarded requests for the backend servers of this instance.
