--- a/src/tests/membership_test.cpp
+++ b/src/tests/membership_test.cpp
@@ -202,7 +202,7 @@
     CHECK(rc::check("a row of 5 s at eight daemons", [] {
         auto fleet = joined_fleet(small_fleet(8, *rc::gen::arbitrary<std::uint64_t>()));
         const service_id service{"tetteh", "finder"};
-        (*fleet)[0].members().broadcast(ejection_row{service, 5, "{}", 5000ms});
+        (*fleet)[0].members().broadcast(ejection_row_copy{service, 5, "{}", 5000ms});
         fleet->run_for(2s);
         // Only holding times are subtracted: each of at most 7 hops may add its latency of 12 ms.
         const auto most = 3000ms + 7 * 12ms;
@@ -212,7 +212,7 @@
             RC_ASSERT(rows.front().remaining.count() <= most.count());
             RC_ASSERT(rows.front().remaining.count() > 2500);
         }
-        (*fleet)[3].members().broadcast(ejection_row{service, 4, "{\"old\":1}", 30000ms});
+        (*fleet)[3].members().broadcast(ejection_row_copy{service, 4, "{\"old\":1}", 30000ms});
         fleet->run_for(3100ms);
         for (int i = 0; i < 8; ++i) {
             RC_ASSERT((*fleet)[i].members().ejection_rows().empty());
