--- /dev/null
+++ b/src/experiment/detection_daemon.cpp
@@ -0,0 +1,231 @@
+#include "experiment/detection_daemon.h"
+
+#include <algorithm>
+
+namespace galenaroad {
+
+namespace {
+
+bool is_wished(const std::vector<ejection_wish>& wishes, const upstream_id& id)
+{
+    return std::any_of(wishes.begin(), wishes.end(),
+                       [&](const ejection_wish& wish) { return wish.upstream == id; });
+}
+
+} // namespace
+
+detection_daemon::detection_daemon(int index, const detection_parameters& parameters,
+                                   const clock& time, table_service& store)
+    : m_index(index),
+      m_parameters(parameters),
+      m_clock(time),
+      m_evaluations(detection_parameters::services),
+      m_ledger(store, time, "i" + std::to_string(index) + ".1")
+{
+    for (int service = 0; service < detection_parameters::services; ++service) {
+        m_health.emplace_back(parameters.detector());
+        for (int instance = 0; instance < detection_parameters::instances; ++instance) {
+            m_health.back().assume_warm(id_of(service, instance));
+        }
+    }
+}
+
+upstream_id detection_daemon::id_of(int service, int instance)
+{
+    return {"i" + std::to_string(instance), "s" + std::to_string(service)};
+}
+
+void detection_daemon::observe(int service, int instance, const observation& attempt)
+{
+    const upstream_id id = id_of(service, instance);
+    const steady_time now = m_clock.steady_now();
+    m_health[static_cast<std::size_t>(service)].record(id, attempt, now);
+    error_run& run = m_errors[id];
+    if (attempt.outcome == attempt_outcome::success) {
+        run.failures = 0;
+    }
+    else if (attempt.outcome == attempt_outcome::failure && ++run.failures >= consecutive_limit) {
+        run.failures = 0;
+        run.excluded_until = now + consecutive_hold;
+    }
+}
+
+fault_attribution detection_daemon::link(int service, int instance, link_event event)
+{
+    const upstream_id id = id_of(service, instance);
+    const steady_time now = m_clock.steady_now();
+    const bool was_marked = m_links.is_marked(id.instance, now);
+    const fault_attribution found = m_links.record(id, event, now);
+    if (found == fault_attribution::link && !was_marked) {
+        for (int each = 0; each < detection_parameters::services; ++each) {
+            m_health[static_cast<std::size_t>(each)].discard_evidence(id_of(each, instance));
+        }
+    }
+    return found;
+}
+
+void detection_daemon::report(int service, int instance, const owner_report& report)
+{
+    m_health[static_cast<std::size_t>(service)].report(id_of(service, instance), report,
+                                                       m_clock.steady_now());
+}
+
+owner_report detection_daemon::report_for(int service) const
+{
+    return m_health[static_cast<std::size_t>(service)].report_for(id_of(service, m_index),
+                                                                  m_clock.steady_now());
+}
+
+void detection_daemon::running(int service, int instance, std::vector<open_attempt> open)
+{
+    const upstream_id id = id_of(service, instance);
+    if (m_links.is_marked(id.instance, m_clock.steady_now())) {
+        open.clear();
+    }
+    m_health[static_cast<std::size_t>(service)].running(id, std::move(open));
+}
+
+void detection_daemon::receive(const aged_row& row)
+{
+    m_view.receive(row, m_clock.steady_now());
+}
+
+std::vector<aged_row> detection_daemon::tick(const std::vector<service_capacity>& members,
+                                             const std::vector<bool>& evaluates)
+{
+    std::vector<aged_row> written;
+    const steady_time now = m_clock.steady_now();
+    m_view.control_loop_ran(now);
+    for (int service = 0; service < detection_parameters::services; ++service) {
+        const auto index = static_cast<std::size_t>(service);
+        if (m_parameters.method == ejection_method::product ||
+            m_parameters.method == ejection_method::independent) {
+            m_health[index].evaluate(now);
+        }
+        if (m_parameters.method == ejection_method::product && evaluates[index]) {
+            evaluate_service(service, members[index], written);
+        }
+        update_preferences(service, members[index]);
+    }
+    return written;
+}
+
+void detection_daemon::evaluate_service(int service, const service_capacity& members,
+                                        std::vector<aged_row>& written)
+{
+    const auto index = static_cast<std::size_t>(service);
+    const auto wishes = m_health[index].ejection_wishes(m_clock.steady_now());
+    propose(service, members, wishes, written);
+    keep_or_release(service, members, wishes, written);
+}
+
+void detection_daemon::propose(int service, const service_capacity& members,
+                               const std::vector<ejection_wish>& wishes,
+                               std::vector<aged_row>& written)
+{
+    evaluation& mine = m_evaluations[static_cast<std::size_t>(service)];
+    const steady_time now = m_clock.steady_now();
+    for (const ejection_wish& wish : wishes) {
+        const bool is_ejected = std::find(mine.ejected.begin(), mine.ejected.end(),
+                                          wish.upstream) != mine.ejected.end();
+        const auto last = mine.proposed.find(wish.upstream);
+        if (is_ejected || (last != mine.proposed.end() && now - last->second < proposal_interval)) {
+            continue;
+        }
+        mine.proposed[wish.upstream] = now;
+        if (const auto row = m_ledger.propose(members, wish.upstream, wish.reason)) {
+            mine.ejected.push_back(wish.upstream);
+            mine.renewed = now;
+            m_view.receive(*row, now);
+            written.push_back(*row);
+        }
+    }
+}
+
+void detection_daemon::keep_or_release(int service, const service_capacity& members,
+                                       const std::vector<ejection_wish>& wishes,
+                                       std::vector<aged_row>& written)
+{
+    evaluation& mine = m_evaluations[static_cast<std::size_t>(service)];
+    const steady_time now = m_clock.steady_now();
+    std::vector<upstream_id> kept;
+    for (const upstream_id& id : mine.ejected) {
+        if (is_wished(wishes, id)) {
+            kept.push_back(id);
+            continue;
+        }
+        if (const auto row = m_ledger.release(members.service, id)) {
+            m_view.receive(*row, now);
+            written.push_back(*row);
+        }
+    }
+    mine.ejected = kept;
+    if (kept.empty() || now - mine.renewed < renewal_interval) {
+        return;
+    }
+    mine.renewed = now;
+    if (const auto row = m_ledger.renew(members, kept)) {
+        m_view.receive(*row, now);
+        written.push_back(*row);
+    }
+}
+
+void detection_daemon::update_preferences(int service, const service_capacity& members)
+{
+    const steady_time now = m_clock.steady_now();
+    const auto standings = m_view.standings(members, now);
+    for (int instance = 0; instance < detection_parameters::instances; ++instance) {
+        const upstream_id id = id_of(service, instance);
+        const auto standing = standings.find(id);
+        double& preference = m_preferences[id];
+        if (standing == standings.end()) {
+            preference = -1; // Departed.
+            continue;
+        }
+        const bool was_excluded = preference < 0;
+        if (standing->second == upstream_standing::excluded) {
+            preference = -1;
+            continue;
+        }
+        if (was_excluded && m_parameters.method == ejection_method::product) {
+            m_health[static_cast<std::size_t>(service)].returned(id, now);
+        }
+        preference = standing->second == upstream_standing::least_preferred
+                         ? outlier_detector::sick_preference
+                         : local_preference(service, instance);
+    }
+}
+
+double detection_daemon::local_preference(int service, int instance) const
+{
+    const upstream_id id = id_of(service, instance);
+    const steady_time now = m_clock.steady_now();
+    const service_health& health = m_health[static_cast<std::size_t>(service)];
+    if (m_parameters.method == ejection_method::none) {
+        return 1;
+    }
+    if (m_parameters.method == ejection_method::consecutive) {
+        const auto run = m_errors.find(id);
+        return run != m_errors.end() && now < run->second.excluded_until ? -1 : 1;
+    }
+    if (m_parameters.method == ejection_method::independent) {
+        return is_wished(health.ejection_wishes(now), id) ? -1 : 1;
+    }
+    const bool is_cut = m_links.is_marked(id.instance, now);
+    return is_cut ? outlier_detector::sick_preference : health.preference(id, now);
+}
+
+double detection_daemon::preference(int service, int instance) const
+{
+    const auto found = m_preferences.find(id_of(service, instance));
+    return found == m_preferences.end() ? 1 : found->second;
+}
+
+bool detection_daemon::holds(int service, int instance) const
+{
+    const auto wishes =
+        m_health[static_cast<std::size_t>(service)].ejection_wishes(m_clock.steady_now());
+    return is_wished(wishes, id_of(service, instance));
+}
+
+} // namespace galenaroad
