Let the stand-in backend server write spans; check the demonstration's claims

Cause: the demonstration's first runs showed no spans, an order that ran twice and a failing server that kept its work, and did not say so for the order. Ruled out: leaving the order unchecked because both answers were 201. Change: the stand-in writes a span for each request and nested call. demo.sh counts how often the order ran, waits for each service, reports each step that goes wrong and then ends with 1. A first apply prints a summary. Conclusion: the daemon does not write spans, claim actions or eject yet; the demonstration stays red until it does.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,6 +14,7 @@
 work=$(mktemp -d /tmp/galenaroad-demo.XXXXXX)
 started=() # Process ids; stopped in reverse order.
 join=""
+problems=0
 
 stop_all() {
   local index pid tries
@@ -51,6 +52,12 @@
   exit 1
 }
 
+# problem TEXT: reports a step that went wrong; the other steps still run.
+problem() {
+  echo "PROBLEM: $1" >&2
+  problems=$((problems + 1))
+}
+
 # start NAME PROGRAM ARGUMENTS...: runs a program until the end of the demonstration.
 start() {
   local name=$1 program=$2
@@ -95,7 +102,7 @@
   for ((number = 1; number <= $6; number++)); do
     start "$1-$3-$number" standin_backend_server --name "$3-$number" --business "$2" \
       --service "$3" --slots "$4" --connections "$5" --admin "$admin" --entry "$entry" \
-      --host "$2.example"
+      --host "$2.example" --spans-file "$work/$1-$3-$number.spans"
   done
 }
 
@@ -117,15 +124,15 @@
     request "$1" "$2" -f -o /dev/null 2>/dev/null && return
     sleep 0.2
   done
-  fail "No answer to $1$2 within 20 s: $(request "$1" "$2" || true)"
+  fail "No success from $1$2 within 20 s: $(request "$1" "$2" || true)"
 }
 
 started_work() { curl -sS "http://$1/_counters" | jq .started; }
 
 # load COUNT: sends searches, eight at a time.
 load() {
-  curl -sS -Z --parallel-max 8 --max-time 60 -o /dev/null -H 'Host: tetteh.example' \
-    "http://$entry/finder?q=[1-$1]"
+  curl -s -Z --no-progress-meter --parallel-max 8 --max-time 60 -o /dev/null -H 'Host: tetteh.example' \
+    "http://$entry/finder?q=[1-$1]" || true
 }
 
 print_trace() {
@@ -140,7 +147,21 @@
         | tostring) + " us"] | @tsv' | sort | cut -f 2- | tee "$work/trace.txt" |
     column -t -s $'\t' -N span,parent,instance,name,duration
   count=$(wc -l <"$work/trace.txt")
-  [ "$count" -ge 3 ] || fail "The trace has $count spans; at least 3 were expected"
+  [ "$count" -ge 3 ] || problem "The trace has $count spans; at least 3 were expected"
+}
+
+# show_single_run KEY: shows how often the order with a key ran at any backend server.
+show_single_run() {
+  local runs=0 daemon number server
+  for daemon in ljubljana-1-a maribor-1-a; do
+    for number in 1 2; do
+      server=$(address "$daemon-orders-$number" address)
+      runs=$((runs + $(curl -sS "http://$server/_actions" |
+        jq --arg key "$1" '[.[] | select(.idempotency_key == $key)] | length')))
+    done
+  done
+  echo "The order ran $runs times"
+  [ "$runs" -eq 1 ] || problem "The order ran $runs times in place of once"
 }
 
 show_failing_server() {
@@ -155,7 +176,7 @@
     [ "$before" -ne "$after" ] || return 0
     sleep 0.5
   done
-  fail "The failing server still received work after $tries rounds"
+  problem "The failing server still received work after 15 rounds"
 }
 
 echo "== Starting the platform's stand-ins and four daemons"
@@ -188,14 +209,19 @@
 ctl apply examples/tetteh.yaml
 ctl apply examples/cista-pipa.yaml
 ctl apply examples/cista-pipa-2026-12-04.csv
-wait_for tetteh.example "/finder?q=belt"
-wait_for cista-pipa.example "/reminders?q=filter"
+for path in /finder /orders /manuals; do
+  wait_for tetteh.example "$path?q=belt"
+done
+for path in /reminders /orders /documents /subscriptions; do
+  wait_for cista-pipa.example "$path?q=filter"
+done
 
 echo "== One order of Zadruga Cista Pipa, sent twice with the same key"
 for _ in 1 2; do
   request cista-pipa.example /orders -H 'Idempotency-Key: demo-1' -d '{"cartridge": 5}' \
     -w ' (status %{http_code})\n'
 done
+show_single_run demo-1
 
 echo "== One search of Tetteh Vacuum Works with a nested call, and its trace"
 trace=$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
@@ -205,4 +231,5 @@
 print_trace "$trace"
 
 show_failing_server "$(address ash-1-a-finder-1 address)"
+[ "$problems" -eq 0 ] || fail "$problems steps went wrong"
 echo "== Done; stopping the ${#started[@]} processes of the demonstration"
--- a/src/ctl/contract_commands.cpp
+++ b/src/ctl/contract_commands.cpp
@@ -55,6 +55,11 @@
     report.data["business"] = change.next.business;
     report.data["version"] = change.current.version;
     report.data["changes"] = change.changes;
+    if (change.current.version == 0) {
+        // Every field of a new contract would be listed otherwise.
+        report.lines = {"new contract with " + std::to_string(change.next.services.size()) +
+                        " services and " + std::to_string(change.next.routes.size()) + " routes"};
+    }
     if (change.changes.empty()) {
         report.lines = {"no change; version " + std::to_string(change.current.version) +
                         " is in force"};
--- a/src/standins/standin_backend_server.cpp
+++ b/src/standins/standin_backend_server.cpp
@@ -35,6 +35,7 @@
     add("slots", "requests that it runs at the same time", number("7"));
     add("connections", "connections that it can hold", number("330"));
     add("service-time-ms", "mean time of a request", number("5"));
+    add("spans-file", "file to which spans are appended", text(""));
     add("seed", "start of the random sequence", number("1"));
     add("addresses-file", "file that receives the bound address, as JSON", text(""));
     add("help", "print this text");
@@ -52,6 +53,7 @@
     settings.admin_address = text("admin");
     settings.entry_address = text("entry");
     settings.host = text("host");
+    settings.spans_file = text("spans-file");
     settings.slots = arguments["slots"].as<int>();
     settings.connections = arguments["connections"].as<int>();
     settings.service_time = std::chrono::milliseconds(arguments["service-time-ms"].as<int>());
--- a/src/standins/standin_backend_server_caller.cpp
+++ b/src/standins/standin_backend_server_caller.cpp
@@ -30,18 +30,21 @@
 }
 
 nlohmann::json standin_backend_server_caller::call(const Poco::Net::HTTPRequest& incoming,
-                                                   const std::string& path) const
+                                                   const std::string& path,
+                                                   const std::string& traceparent) const
 {
     try {
         Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(m_entry_address)};
         session.setTimeout(Poco::Timespan(timeout_of(incoming).count() * 1000));
         Poco::Net::HTTPRequest request("GET", path, "HTTP/1.1");
-        for (const char* const name :
-             {"traceparent", "X-Call-Depth", "X-Request-Timeout-Ms", "X-Retry-Budget"}) {
+        for (const char* const name : {"X-Call-Depth", "X-Request-Timeout-Ms", "X-Retry-Budget"}) {
             if (incoming.has(name)) {
                 request.set(name, incoming.get(name));
             }
         }
+        if (!traceparent.empty()) {
+            request.set("traceparent", traceparent);
+        }
         if (!m_host.empty()) {
             request.setHost(m_host);
         }
--- a/src/standins/standin_backend_server_caller.h
+++ b/src/standins/standin_backend_server_caller.h
@@ -15,11 +15,13 @@
     explicit standin_backend_server_caller(const standin_backend_server_settings& settings);
 
     /// Makes a nested call and waits for its answer.
-    /// @param incoming the request on whose behalf the call is made; its trace, depth, remaining
-    /// time and retry budget are copied.
+    /// @param incoming the request on whose behalf the call is made; its depth, remaining time and
+    /// retry budget are copied.
     /// @param path path and query to call.
+    /// @param traceparent the trace header to send; may be empty.
     /// @return `status` and `body`; status 0 when no complete answer arrived.
-    nlohmann::json call(const Poco::Net::HTTPRequest& incoming, const std::string& path) const;
+    nlohmann::json call(const Poco::Net::HTTPRequest& incoming, const std::string& path,
+                        const std::string& traceparent) const;
 
 private:
     std::string m_entry_address;
--- a/src/standins/standin_backend_server_handler.cpp
+++ b/src/standins/standin_backend_server_handler.cpp
@@ -115,13 +115,14 @@
     HTTPServerResponse& response;
     std::string body;
     nlohmann::json nested;
+    trace_context context;
 
     bool is_action() const { return request.getMethod() != "GET" && request.getMethod() != "HEAD"; }
 };
 
 standin_backend_server_handler::standin_backend_server_handler(
     const standin_backend_server_settings& settings, standin_backend_server_faults& faults)
-    : m_settings(settings), m_faults(faults), m_caller(settings)
+    : m_settings(settings), m_faults(faults), m_caller(settings), m_tracer(settings)
 {
 }
 
@@ -148,7 +149,7 @@
         handle_health(request, response);
         return;
     }
-    work item{request, response, {}, nullptr};
+    work item{request, response, {}, nullptr, {}};
     Poco::StreamCopier::copyToString(request.stream(), item.body);
     handle_work(item);
 }
@@ -171,7 +172,7 @@
 void standin_backend_server_handler::handle_health(HTTPServerRequest& request,
                                                    HTTPServerResponse& response)
 {
-    work probe{request, response, {}, nullptr};
+    work probe{request, response, {}, nullptr, {}};
     hold(probe, &standin_fault_settings::frozen);
     wait(probe, m_settings.probe_time);
     const auto faults = m_faults.settings();
@@ -193,9 +194,12 @@
         return;
     }
     ++m_started;
+    const auto start = std::chrono::system_clock::now();
+    item.context = m_tracer.enter(item.request.get("traceparent", ""));
     hold(item, &standin_fault_settings::frozen);
     hold(item, &standin_fault_settings::silent);
     run(item);
+    m_tracer.finish("handle", span_kind::server, item.context, start);
 }
 
 void standin_backend_server_handler::run(work& item)
@@ -269,7 +273,11 @@
     if (!path) {
         return true;
     }
-    item.nested = m_caller.call(item.request, *path);
+    const auto start = std::chrono::system_clock::now();
+    const auto call_context = m_tracer.below(item.context);
+    const auto header = m_tracer.header(call_context, item.request.get("traceparent", ""));
+    item.nested = m_caller.call(item.request, *path, header);
+    m_tracer.finish("nested call", span_kind::client, call_context, start);
     const int status = item.nested.value("status", 0);
     return status >= HTTPResponse::HTTP_OK && status < HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
 }
--- a/src/standins/standin_backend_server_handler.h
+++ b/src/standins/standin_backend_server_handler.h
@@ -4,6 +4,7 @@
 #include "standins/standin_backend_server_caller.h"
 #include "standins/standin_backend_server_faults.h"
 #include "standins/standin_backend_server_settings.h"
+#include "standins/standin_backend_server_tracer.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
@@ -57,6 +58,7 @@
     const standin_backend_server_settings& m_settings;
     standin_backend_server_faults& m_faults;
     standin_backend_server_caller m_caller;
+    standin_backend_server_tracer m_tracer;
     standin_backend_server_actions m_actions;
     std::atomic<int> m_in_use{0};
     std::atomic<std::uint64_t> m_started{0};
--- a/src/standins/standin_backend_server_settings.h
+++ b/src/standins/standin_backend_server_settings.h
@@ -14,6 +14,7 @@
     std::string admin_address; ///< Admin address of its daemon; empty for no announcements.
     std::string entry_address; ///< Entry address of its daemon, for nested calls; may be empty.
     std::string host;          ///< Host name of the business, sent with nested calls.
+    std::string spans_file;    ///< Where spans are appended; empty for no spans.
     int slots = 7;
     int connections = 330;
     std::chrono::milliseconds service_time{5};
