--- a/src/experiment/detection_model.cpp
+++ b/src/experiment/detection_model.cpp
@@ -61,9 +61,13 @@
     for (int service = 0; service < services; ++service) {
         service_candidates& list = m_candidates[upstream_index(service, entry)];
         for (int instance = 0; instance < instances; ++instance) {
+            const auto id = detection_daemon::id_of(service, instance);
+            auto owner = std::make_shared<member_record>();
+            owner->name = id.instance;
+            owner->upstreams.push_back(
+                {id.name, nullptr, static_cast<std::uint16_t>(m_parameters.business.slots)});
             upstream_candidate added;
-            added.id = detection_daemon::id_of(service, instance);
-            added.slots = m_parameters.business.slots;
+            added.owner = std::move(owner);
             added.distance = link_distance::same_data_centre;
             if (data_centre_of(entry) != data_centre_of(instance)) {
                 added.distance = region_of(entry) == region_of(instance)
@@ -153,10 +157,10 @@
     }
     auto attempt = std::make_shared<detection_attempt>();
     attempt->request = request;
-    attempt->instance = std::stoi(chosen->id.instance.substr(1));
+    attempt->instance = std::stoi(chosen->owner->name.substr(1));
     attempt->sent = m_clock.steady_now();
     chosen->load->request_started();
-    request->tried.push_back(chosen->id);
+    request->tried.push_back(chosen->id());
     ++request->attempts;
     m_measures.attempt_sent(request->service, attempt->instance, m_elapsed);
     m_open[static_cast<std::size_t>(request->entry)].push_back(attempt);
--- a/src/experiment/detection_model_control.cpp
+++ b/src/experiment/detection_model_control.cpp
@@ -50,7 +50,7 @@
                 m_daemons[static_cast<std::size_t>(daemon)]->preference(service, instance);
             if (preference >= 0) {
                 list.push_back(m_all[upstream_index(daemon * services + service, instance)]);
-                list.back().preference = preference;
+                list.back().preference = static_cast<float>(preference);
             }
         }
     }
