Count a caller's open attempts only over a link that answers

Ruled out: waiting for the connection failure, which comes 900 ms after the attempt was sent; four silent attempts reach the threshold before.

Change: link_monitor::has_answered_since(); callers report an open attempt only when its instance has answered anything since.

Conclusion: a silent link is link state until something comes back over it.

--- a/src/experiment/detection_daemon.cpp
+++ b/src/experiment/detection_daemon.cpp
@@ -79,8 +79,13 @@
 void detection_daemon::running(int service, int instance, std::vector<open_attempt> open)
 {
     const upstream_id id = id_of(service, instance);
-    if (m_links.is_marked(id.instance, m_clock.steady_now())) {
-        open.clear();
+    if (instance != m_index) {
+        open.erase(std::remove_if(open.begin(), open.end(),
+                                  [&](const open_attempt& attempt) {
+                                      return !m_links.has_answered_since(id.instance,
+                                                                         attempt.started);
+                                  }),
+                   open.end());
     }
     m_health[static_cast<std::size_t>(service)].running(id, std::move(open));
 }
--- a/src/health/link_monitor.cpp
+++ b/src/health/link_monitor.cpp
@@ -7,6 +7,7 @@
 {
     if (event == link_event::answered) {
         m_links.erase(upstream.instance);
+        m_answered[upstream.instance] = now;
         return fault_attribution::none;
     }
     link_record& link = m_links[upstream.instance];
@@ -37,8 +38,15 @@
            now - found->second.last_failure <= mark_lifetime;
 }
 
+bool link_monitor::has_answered_since(const std::string& instance, steady_time since) const
+{
+    const auto found = m_answered.find(instance);
+    return found != m_answered.end() && found->second >= since;
+}
+
 void link_monitor::depart(const std::string& instance)
 {
+    m_answered.erase(instance);
     m_links.erase(instance);
 }
 
--- a/src/health/link_monitor.h
+++ b/src/health/link_monitor.h
@@ -41,6 +41,13 @@
     /// @return whether the link to the instance is marked as failed.
     bool is_marked(const std::string& instance, steady_time now) const;
 
+    /// Tells whether a running attempt may count as evidence about the upstream. While an instance
+    /// is silent as a whole, its link may be at fault, and only a new connection can tell.
+    /// @param instance the peer instance.
+    /// @param since when the attempt should have been answered at the earliest.
+    /// @return whether the instance has answered anything since then.
+    bool has_answered_since(const std::string& instance, steady_time since) const;
+
     /// Forgets the link to an instance that has departed.
     /// @param instance the peer instance.
     void depart(const std::string& instance);
@@ -53,6 +60,7 @@
     };
 
     std::map<std::string, link_record> m_links;
+    std::map<std::string, steady_time> m_answered; ///< Latest answer by instance.
 };
 
 } // namespace galenaroad
--- a/src/health/outlier_detector.h
+++ b/src/health/outlier_detector.h
@@ -64,8 +64,9 @@
     /// @param now the time at which it ended.
     void record(const upstream_id& id, const observation& attempt, steady_time now);
 
-    /// Replaces the attempts of an upstream that are still running. Callers report none of them
-    /// when the upstream's link is marked.
+    /// Replaces the attempts of an upstream that are still running. A caller reports only those
+    /// since whose start the upstream's instance has answered: the link works, and the upstream
+    /// takes its time. See link_monitor::has_answered_since().
     /// @param id the upstream.
     /// @param open the running attempts.
     void running(const upstream_id& id, std::vector<open_attempt> open);
--- a/src/tests/link_monitor_test.cpp
+++ b/src/tests/link_monitor_test.cpp
@@ -38,3 +38,17 @@
     time.advance(link_monitor::mark_lifetime + 1ms);
     CHECK_FALSE(links.is_marked("a", time.steady_now()));
 }
+
+TEST_CASE("link_monitor: a silent instance gives no evidence about its upstreams", "[health]")
+{
+    // Guards against ejecting an upstream for attempts that a one-way cut has swallowed.
+    manual_clock time;
+    link_monitor links;
+    links.record({"a", "orders"}, link_event::answered, time.steady_now());
+    time.advance(10ms);
+    const steady_time sent = time.steady_now();
+    CHECK_FALSE(links.has_answered_since("a", sent));
+    time.advance(10ms);
+    links.record({"a", "manuals"}, link_event::answered, time.steady_now());
+    CHECK(links.has_answered_since("a", sent));
+}
