--- a/src/tests/ctl_program_test.cpp
+++ b/src/tests/ctl_program_test.cpp
@@ -5,6 +5,7 @@
 #include "standins/standin_store_server.h"
 #include "standins/standin_table_service_handler.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
@@ -32,9 +33,24 @@
         std::ofstream(path) << text;
     }
 
+    standin_store_faults& faults() { return m_faults; }
+
+    /// Loses the responses of all writes; reads are answered.
+    void lose_write_responses() { m_loses_writes = true; }
+
 private:
+    store_faults hooks()
+    {
+        auto made = m_faults.hooks();
+        made.lose_response = [this](const store_call& call) {
+            return m_loses_writes && is_write(call.operation);
+        };
+        return made;
+    }
+
+    std::atomic<bool> m_loses_writes{false};
     standin_store_faults m_faults;
-    memory_table_service m_table;
+    memory_table_service m_table{hooks()};
     memory_object_store m_objects;
     standin_table_service_handler m_table_handler{m_table};
     standin_object_store_handler m_object_handler{m_objects};
@@ -92,3 +108,19 @@
     CHECK(run({"check", "/nonexistent/a.yaml"}).exit_code() == 2);
     CHECK(run({"--help"}).exit_code() == 0);
 }
+
+TEST_CASE_METHOD(ctl_fixture, "ctl_program: recognises its own write and a store that is down",
+                 "[ctl]")
+{
+    // Guards against an operator who is told of a conflict with his own change after a lost
+    // response, or of success while the store is down.
+    const auto contract_file = file_name("-lost.yaml");
+    write(contract_file, declaration);
+    lose_write_responses();
+    const auto applied = run({"apply", contract_file.c_str()});
+    CHECK(applied.kind == error_kind::ok);
+    CHECK(applied.data["version"] == 1);
+    REQUIRE(faults().apply({{"unavailable", true}}));
+    CHECK(run({"apply", contract_file.c_str()}).exit_code() == 5);
+    std::remove(contract_file.c_str());
+}
