--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -193,7 +193,7 @@
 
 echo "== Starting the backend servers"
 for daemon in ash-1-a gac-1-a; do
-  start_servers "$daemon" tetteh finder 7 330 2
+  start_servers "$daemon" tetteh finder 7 330 3
   start_servers "$daemon" tetteh orders 7 330 1
   start_servers "$daemon" tetteh manuals 7 330 1
   start_servers "$daemon" tetteh returns 7 330 1
