Record a span and metrics for each hop

Cause: a request's path could not be followed through the daemons. Ruled out: spans for refusals before the owner's gate, which the entry's span already shows. Change: hop_telemetry starts and ends the spans entry, owner and backend_call in the caller's trace and counts requests by service and outcome; the admin address serves the metrics. Conclusion: each hop is visible in the trace.

--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -43,6 +43,8 @@
       m_clients(max_peer_channels),
       m_backends(m_clock, max_idle_backend_connections),
       m_ids(seeded_engine()),
+      m_spans(m_settings.spans_file, "galenaroadd", m_settings.instance),
+      m_telemetry(m_spans, m_metrics, m_clock, m_ids),
       m_owner(make_owner_parts()),
       m_forwarder(make_entry_parts()),
       m_action_forwarder(m_forwarder, [this] { return std::atomic_load(&m_actions); }),
@@ -130,6 +132,7 @@
             m_gate,
             m_ids,
             m_action_forwarder,
+            m_telemetry,
             [this]() -> result<std::string> {
                 const auto actions = std::atomic_load(&m_actions);
                 if (!actions) {
@@ -168,6 +171,7 @@
             m_backends,
             m_published.upstreams,
             m_published.incarnation,
+            m_telemetry,
             [](const owner_observation&) {},
             [this](const std::string& business) {
                 return m_published.view.load()->contract_version(business);
@@ -196,7 +200,7 @@
     admin_actions actions;
     actions.announce = [this](const auto& made) { m_control.announce(made); };
     actions.withdraw = [this](const auto& name) { m_control.withdraw(name); };
-    actions.metrics = [] { return std::string(); };
+    actions.metrics = [this] { return m_metrics.text(); };
     actions.not_ready = [this]() -> std::string {
         return m_published.view.load()->ready ? "" : "No configuration is in force yet";
     };
--- a/src/daemon/proxy_daemon.h
+++ b/src/daemon/proxy_daemon.h
@@ -59,6 +59,9 @@
     watchdog m_watchdog;
     retry_budgets m_budgets;
     id_source m_ids;
+    span_writer m_spans;
+    metrics_registry m_metrics;
+    hop_telemetry m_telemetry;
     owner_dispatcher m_owner;
     forwarder m_forwarder;
     std::shared_ptr<action_services> m_actions; ///< Accessed by std::atomic_load and atomic_store.
--- a/src/proxy/action_services.cpp
+++ b/src/proxy/action_services.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-action_services::action_services(daemon_identity identity, table_service& tables,
+action_services::action_services(const daemon_identity& identity, table_service& tables,
                                  object_store& objects, const clock& time,
                                  const snapshot_cell<fleet_view>& view, random_engine random)
     : m_attempts(identity, random),
--- a/src/proxy/action_services.h
+++ b/src/proxy/action_services.h
@@ -21,7 +21,7 @@
     /// @param time the clock.
     /// @param view the members.
     /// @param random the seeded engine.
-    action_services(daemon_identity identity, table_service& tables, object_store& objects,
+    action_services(const daemon_identity& identity, table_service& tables, object_store& objects,
                     const clock& time, const snapshot_cell<fleet_view>& view, random_engine random);
 
     /// @return the incarnation that the services belong to.
--- a/src/proxy/entry_handler.cpp
+++ b/src/proxy/entry_handler.cpp
@@ -54,9 +54,14 @@
 void entry_handler::handleRequest(HTTPServerRequest& request, HTTPServerResponse& response)
 {
     m_request_id = m_parts.ids.request_id();
+    const auto arrived = m_parts.time.steady_now();
+    auto hop = m_parts.telemetry.receive("entry", request.get("traceparent", ""));
+    hop.attribute("http.request.method", request.getMethod());
+    m_traceparent = hop.context().header();
     server_connection connection(request);
     http_answer_sink sink(connection, response, m_request_id);
     const auto outcome = handle(request, sink, connection);
+    note_end(hop, outcome, arrived);
     // An unread body would be taken for the next request.
     if (!m_body_consumed || m_parts.gate.is_leaving()) {
         response.setKeepAlive(false);
@@ -79,6 +84,15 @@
     }
 }
 
+void entry_handler::note_end(span_builder& hop, const attempt_result& outcome,
+                             steady_time arrived) const
+{
+    hop.attribute("galenaroad.request_id", m_request_id);
+    hop.attribute("galenaroad.service", m_service.service);
+    m_parts.telemetry.finish(hop, outcome);
+    m_parts.telemetry.count("entry", m_service, outcome, m_parts.time.steady_now() - arrived);
+}
+
 attempt_result entry_handler::handle(HTTPServerRequest& request, http_answer_sink& sink,
                                      server_connection& connection)
 {
@@ -88,6 +102,7 @@
     }
     m_body_consumed = !read->has_body;
     read->id = m_request_id;
+    read->traceparent = m_traceparent;
     const auto header = lookup_in(request);
     // The depth only decides on admission while leaving; the route's check follows.
     const auto depth = header("X-Call-Depth").value_or("0") == "0" ? 0 : 1;
@@ -129,6 +144,7 @@
         return attempt_result::failed(error_kind::route_not_found, "");
     }
     const auto& declared = *matched.declared;
+    m_service = {std::string(matched.business), declared.service};
     const auto max_body = static_cast<std::int64_t>(declared.max_body_bytes);
     if (request.content_length > max_body) {
         return attempt_result::failed(error_kind::request_too_large, "The body is too large");
--- a/src/proxy/entry_handler.h
+++ b/src/proxy/entry_handler.h
@@ -3,6 +3,7 @@
 #include "proxy/action_forwarder.h"
 #include "proxy/entry_request.h"
 #include "proxy/fleet_view.h"
+#include "proxy/hop_telemetry.h"
 #include "proxy/http_answer_sink.h"
 #include "proxy/snapshot_cell.h"
 #include "proxy/work_gate.h"
@@ -19,6 +20,7 @@
     work_gate& gate;
     id_source& ids;
     action_forwarder& forward;
+    hop_telemetry& telemetry;
     std::function<result<std::string>()> issue_key; ///< Issues an idempotency key.
 };
 
@@ -40,9 +42,12 @@
                            server_connection& connection);
 
     attempt_result issue_key(answer_sink& sink) const;
+    void note_end(span_builder& hop, const attempt_result& outcome, steady_time arrived) const;
 
     const entry_context& m_parts;
     std::string m_request_id;
+    std::string m_traceparent; ///< Names the entry's span.
+    service_id m_service;      ///< Of the matched route.
     bool m_body_consumed = false;
 };
 
--- a/src/proxy/owner_dispatcher.cpp
+++ b/src/proxy/owner_dispatcher.cpp
@@ -17,6 +17,7 @@
     steady_time deadline;
     std::chrono::microseconds service_time{0};
     gate_load load{};
+    span_builder* hop = nullptr;
 
     request_class work() const
     {
@@ -66,9 +67,6 @@
     headers.push_back({"X-Request-Timeout-Ms", std::to_string(left.count())});
     headers.push_back({"X-Call-Depth", std::to_string(head.depth() + 1)});
     headers.push_back({"X-Retry-Budget", std::to_string(head.retry_budget())});
-    if (!head.traceparent().empty()) {
-        headers.push_back({"traceparent", head.traceparent()});
-    }
     return headers;
 }
 
@@ -110,7 +108,10 @@
     }
     stream_body_source body(stream, first.request_id(), head.content_length());
     const auto deadline = arrived + std::chrono::milliseconds(head.remaining_ms());
-    attempt run{context, head, body, sink, arrived, deadline, {}, {}};
+    auto hop = m_parts.telemetry.receive("owner", head.traceparent());
+    hop.attribute("galenaroad.request_id", head.request_id());
+    hop.attribute("galenaroad.upstream", head.upstream());
+    attempt run{context, head, body, sink, arrived, deadline, {}, {}, &hop};
     if (!m_parts.gate.enter_owner()) {
         sink.fail(attempt_result::failed(error_kind::leaving, "The instance is shutting down"));
         return;
@@ -205,7 +206,10 @@
     order.deadline = run.deadline;
     order.idempotent = is_safe_to_repeat(run.head);
     order.is_cancelled = [&run] { return run.context.IsCancelled(); };
+    auto call = m_parts.telemetry.call("backend_call", run.hop->context());
+    order.headers.push_back({"traceparent", call.context().header()});
     auto outcome = backend_call(m_parts.backends, m_parts.time).run(order, run.body, run.sink);
+    m_parts.telemetry.finish(call, outcome);
     constexpr int too_many_requests = 429;
     constexpr int service_unavailable = 503;
     if (outcome.status == too_many_requests || outcome.status == service_unavailable) {
@@ -214,7 +218,7 @@
     return outcome;
 }
 
-void owner_dispatcher::end(attempt& run, const attempt_result& outcome) const
+void owner_dispatcher::end(attempt& run, const attempt_result& outcome)
 {
     if (outcome.ok()) {
         peer::ResponseTrailer trailer;
@@ -227,6 +231,9 @@
     else if (!outcome.sink_gone) {
         run.sink.fail(outcome);
     }
+    m_parts.telemetry.finish(*run.hop, outcome);
+    m_parts.telemetry.count("owner", {run.head.business(), run.head.service()}, outcome,
+                            m_parts.time.steady_now() - run.arrived);
     m_parts.observe({{run.head.business(), run.head.service()},
                      run.head.upstream(),
                      run.work(),
--- a/src/proxy/owner_dispatcher.h
+++ b/src/proxy/owner_dispatcher.h
@@ -6,6 +6,7 @@
 #include "proxy/attempt_result.h"
 #include "proxy/backend_order.h"
 #include "proxy/backend_pool.h"
+#include "proxy/hop_telemetry.h"
 #include "proxy/local_upstream.h"
 #include "proxy/snapshot_cell.h"
 #include "proxy/stream_answer_sink.h"
@@ -33,6 +34,7 @@
     backend_pool& backends;
     const snapshot_cell<local_upstreams>& upstreams;
     const std::atomic<std::uint64_t>& incarnation;
+    hop_telemetry& telemetry;
     std::function<void(const owner_observation&)> observe;
     std::function<std::uint64_t(const std::string& business)> contract_version;
 };
@@ -64,7 +66,7 @@
     attempt_result start_and_run(attempt& run, const local_upstream& target);
     attempt_result run_registered(attempt& run, const local_upstream& target);
     attempt_result call_backend(attempt& run, const local_upstream& target);
-    void end(attempt& run, const attempt_result& outcome) const;
+    void end(attempt& run, const attempt_result& outcome);
 
     owner_parts m_parts;
     std::mutex m_attempts_mutex;
--- a/src/tests/proxy_daemon_test.cpp
+++ b/src/tests/proxy_daemon_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/support/test_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <thread>
 
 using namespace galenaroad;
@@ -217,3 +218,32 @@
         test_fleet::send_to(fleet.address("orders-1", "address"), {"GET", "/_actions"});
     CHECK(actions.body.find("belt") == std::string::npos);
 }
+
+TEST_CASE("proxy_daemon: each hop of a request leaves a span of the caller's trace", "[daemon]")
+{
+    // Guards against a hop that starts a trace of its own or passes no context on.
+    two_daemons fleet;
+    fleet.start_backend("finder-1", "finder", "ash-b");
+    REQUIRE(fleet.serves("/finder/a"));
+    const std::string trace = "0af7651916cd43dd8448eb211c80319c";
+    fleet.send("ash-a",
+               {"GET", "/finder/a", "", {{"traceparent", "00-" + trace + "-b7ad6b7169203331-01"}}});
+    const auto has_span = [&](const std::string& instance, const std::string& name) {
+        return test_fleet::wait_until([&] {
+            std::ifstream file(fleet.spans_file(instance));
+            for (std::string line; std::getline(file, line);) {
+                if (line.find(trace) != std::string::npos &&
+                    line.find("\"name\":\"" + name + "\"") != std::string::npos) {
+                    return true;
+                }
+            }
+            return false;
+        });
+    };
+    CHECK(has_span("ash-a", "entry"));
+    CHECK(has_span("ash-b", "owner"));
+    CHECK(has_span("ash-b", "backend_call"));
+    const auto metrics =
+        test_fleet::send_to(fleet.address("ash-a", "admin"), {"GET", "/metrics"}).body;
+    CHECK(metrics.find("galenaroad_entry_requests_total") != std::string::npos);
+}
