Carry configuration versions on responses; raise the default thread limits

Cause: an entry daemon ignored a newer contract version reported by an owner, and 16 peer threads are fewer than the slots and queues of 11 upstreams (231). Ruled out: a limit by upstreams announced, since the listener's limit is fixed when it starts. Conclusion: a version spreads with traffic as well as with gossip.

--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -200,7 +200,10 @@
             [this](const entry_observation& seen) {
                 m_control.observe(observation_mapping::from_entry(seen, m_clock.steady_now()));
             },
-            m_open};
+            m_open,
+            [this](const contract_head& head, const std::string& address) {
+                m_control.heard(head, address);
+            }};
 }
 
 peer_handlers proxy_daemon::make_peer_handlers()
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -228,6 +228,15 @@
     return {now + timeout, order.context.deadline};
 }
 
+void forwarder::note_version(const forward_order& order, const upstream_candidate& target,
+                             std::uint64_t version) const
+{
+    const std::string business(order.route.business);
+    if (version > order.view->contract_version(business)) {
+        m_parts.heard({business, version}, target.peer_address());
+    }
+}
+
 void forwarder::note_end(const forward_order& order, const upstream_candidate& target,
                          const forward_outcome& outcome, steady_time started)
 {
@@ -235,6 +244,7 @@
     if (outcome.result.ok()) {
         target.load->report(static_cast<int>(outcome.trailer.slots_in_use()),
                             static_cast<int>(outcome.trailer.queued()), now);
+        note_version(order, target, outcome.trailer.configuration_version());
     }
     entry_observation seen;
     seen.service = service_of(order);
--- a/src/proxy/forwarder.h
+++ b/src/proxy/forwarder.h
@@ -40,6 +40,8 @@
     id_source& ids;
     std::function<void(const entry_observation&)> observe;
     open_attempt_table& open;
+    /// An owner holds a newer version of a contract; the address is the owner's.
+    std::function<void(const contract_head&, const std::string& address)> heard;
 };
 
 /// A request with its route, ready to be forwarded.
@@ -90,6 +92,8 @@
     static std::string attempt_id_of(const forward_order& order, const progress& state);
     attempt_times times_of(const forward_order& order, const replayable_body& body,
                            const progress& state) const;
+    void note_version(const forward_order& order, const upstream_candidate& target,
+                      std::uint64_t version) const;
     void note_end(const forward_order& order, const upstream_candidate& target,
                   const forward_outcome& outcome, steady_time started);
 
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -11,8 +11,10 @@
 
 /// Threads and connections that a daemon may use.
 struct worker_limits {
-    int entry_threads = 64;           ///< Requests of callers handled at the same time.
-    int peer_threads = 16;            ///< Streams of other daemons handled at the same time.
+    int entry_threads = 256; ///< Requests of callers handled at the same time.
+    /// Streams of other daemons handled at the same time: 11 upstreams with 7 slots and queues of
+    /// twice that need 231.
+    int peer_threads = 256;
     int admin_threads = 4;            ///< Requests on the admin address at the same time.
     int max_queued_connections = 256; ///< Accepted connections that wait for an entry thread.
 };
