Compare owners' levels at the service's evaluator

Callers prefer near upstreams; at low load they see fewer peers than a comparison needs, so that nobody could judge the server. Ruled out: a lower number of peers for a comparison, which ejects healthy servers; levels in gossip, which would grow with the fleet. Change: each owner reports the level of its upstreams to the evaluator of their service once a second, four times a second while suspected, and receives a reference from all other owners. Statistics are shared by both comparisons.

--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control_shell.h"
 
 #include "peer.pb.h"
+#include "peer/level_codec.h"
 
 #include <utility>
 
@@ -68,6 +69,12 @@
             send_waiting();
         });
     };
+    handlers.levels = [this](const peer::LevelReport& message) {
+        std::vector<class_reference> references;
+        m_control.run_and_wait(
+            [&] { references = m_fleet.health().answer(level_codec::decode(message)); });
+        return level_codec::encode(references);
+    };
     handlers.synchronise = [this](const auto& request, const auto& write) {
         synchronise(request, write);
     };
@@ -119,6 +126,9 @@
     }
     m_last_judgement = now;
     m_fleet.judge(m_parts.open.attempts());
+    for (const auto& each : m_fleet.health().take_level_reports()) {
+        m_messenger.report(each);
+    }
     auto orders = m_fleet.take_orders();
     if (!orders.empty()) {
         m_store.post([this, orders = std::move(orders)] { carry_out(orders); });
@@ -200,6 +210,12 @@
             send_waiting();
         });
     };
+    events.references = [this](const level_report& report,
+                               std::vector<class_reference> references) {
+        m_control.post([this, report, references = std::move(references)] {
+            m_fleet.health().set_references(report, references);
+        });
+    };
     return events;
 }
 
--- a/src/daemon/fleet_control.h
+++ b/src/daemon/fleet_control.h
@@ -93,6 +93,9 @@
     /// @param row the row.
     void row_written(const ejection_order& order, const aged_row& row);
 
+    /// @return the health of the upstreams in use.
+    fleet_health& health() { return m_health; }
+
     /// @return changes of rows to carry out; each is returned once.
     std::vector<ejection_order> take_orders() { return std::exchange(m_orders, {}); }
 
--- a/src/daemon/fleet_health.cpp
+++ b/src/daemon/fleet_health.cpp
@@ -3,6 +3,7 @@
 #include "health/evaluator_selection.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace galenaroad {
@@ -13,6 +14,10 @@
 constexpr auto row_lifetime = ejection_row::validity + ejection_row::grace;
 // Smaller changes of a preference do not justify a new routing snapshot.
 constexpr double least_change = 0.02;
+constexpr std::chrono::seconds report_interval(1);
+constexpr std::chrono::milliseconds suspect_report_interval(250);
+constexpr std::array<request_class, upstream_window::class_count> all_classes{
+    request_class::read, request_class::action, request_class::transfer};
 
 } // namespace
 
@@ -104,11 +109,79 @@
                 orders.push_back(std::move(order));
             }
         }
+        if (tracked.is_owned && is_report_due(tracked)) {
+            report_levels(service, tracked);
+        }
         update_preferences(service, tracked);
     }
     return orders;
 }
 
+bool fleet_health::is_report_due(const tracked_service& tracked) const
+{
+    const auto is_suspected = [&](const capacity_member& each) {
+        const auto* verdict = tracked.health.verdict(each.upstream);
+        return each.upstream.instance == m_own_name && verdict != nullptr &&
+               verdict->state != health_state::healthy;
+    };
+    const auto& members = tracked.capacity.members;
+    const bool is_urgent = std::any_of(members.begin(), members.end(), is_suspected);
+    const auto interval =
+        is_urgent ? suspect_report_interval : std::chrono::milliseconds(report_interval);
+    return m_clock.steady_now() - tracked.reported >= interval;
+}
+
+void fleet_health::report_levels(const service_id& service, tracked_service& tracked)
+{
+    const auto now = m_clock.steady_now();
+    tracked.reported = now;
+    for (const auto& each : tracked.capacity.members) {
+        const auto* window = tracked.health.window(each.upstream);
+        if (each.upstream.instance != m_own_name || window == nullptr) {
+            continue;
+        }
+        level_report report{service, each.upstream, {}};
+        for (const auto work : all_classes) {
+            const auto level = level_of(*window, work, now);
+            if (level.judged > 0) {
+                report.levels.push_back({work, level});
+            }
+        }
+        if (tracked.is_evaluator) {
+            set_references(report, answer(report));
+        }
+        else if (!tracked.evaluator_address.empty()) {
+            m_reports.push_back({tracked.evaluator_address, std::move(report)});
+        }
+    }
+}
+
+std::vector<outgoing_level_report> fleet_health::take_level_reports()
+{
+    return std::exchange(m_reports, {});
+}
+
+std::vector<class_reference> fleet_health::answer(const level_report& report)
+{
+    const auto now = m_clock.steady_now();
+    auto& levels = track(report.service).levels;
+    levels.receive(report.upstream, report.levels, now);
+    return levels.references_for(report.upstream, now);
+}
+
+void fleet_health::set_references(const level_report& report,
+                                  const std::vector<class_reference>& references)
+{
+    const auto tracked = m_services.find(report.service);
+    if (tracked == m_services.end()) {
+        return;
+    }
+    for (const auto& each : references) {
+        tracked->second.health.set_reference(report.upstream, each.work, each.reference,
+                                             m_clock.steady_now());
+    }
+}
+
 std::set<service_id> fleet_health::take_changed()
 {
     return std::exchange(m_changed, {});
@@ -200,7 +273,10 @@
             tracked.preferences.erase(each.upstream);
         }
     }
-    tracked.is_evaluator = evaluator_of(capacity.service, owners) == m_own_name;
+    const auto evaluator = evaluator_of(capacity.service, owners);
+    const auto* known = evaluator ? m_members->find(*evaluator) : nullptr;
+    tracked.is_evaluator = evaluator == m_own_name;
+    tracked.evaluator_address = known == nullptr ? std::string() : known->record->peer_address;
     tracked.capacity = std::move(capacity);
 }
 
--- a/src/daemon/fleet_health.h
+++ b/src/daemon/fleet_health.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "configuration/configuration_store.h"
 #include "health/ejection_view.h"
+#include "health/level_report.h"
 #include "health/link_monitor.h"
 #include "health/service_evaluation.h"
 #include "health/service_health.h"
@@ -68,6 +69,19 @@
     /// @return the changes of rows to carry out.
     std::vector<ejection_order> tick(const std::vector<running_attempt>& open);
 
+    /// @return levels of own upstreams to report to the evaluators of their services.
+    std::vector<outgoing_level_report> take_level_reports();
+
+    /// Answers an owner's report, as the evaluator of its service.
+    /// @param report the report.
+    /// @return the references for the upstream.
+    std::vector<class_reference> answer(const level_report& report);
+
+    /// Takes over the references that an evaluator answered.
+    /// @param report the report that was answered.
+    /// @param references the references.
+    void set_references(const level_report& report, const std::vector<class_reference>& references);
+
     /// @return services whose preferences have changed since the last call.
     std::set<service_id> take_changed();
 
@@ -92,13 +106,18 @@
         service_evaluation evaluation;
         service_capacity capacity;
         std::map<upstream_id, double> preferences;
+        level_collector levels;
+        std::string evaluator_address; ///< Empty while the evaluator is not known.
         bool is_owned = false;
         bool is_evaluator = false;
+        steady_time reported;
         steady_time last_use;
     };
 
     tracked_service& track(const service_id& service);
     void update_capacities();
+    void report_levels(const service_id& service, tracked_service& tracked);
+    bool is_report_due(const tracked_service& tracked) const;
     void add_member(const member& known, std::map<service_id, service_capacity>& capacities) const;
     void replace_members(tracked_service& tracked, service_capacity capacity, bool is_new);
     void forget_idle();
@@ -115,6 +134,7 @@
     link_monitor m_links;
     ejection_view m_view;
     std::set<service_id> m_changed;
+    std::vector<outgoing_level_report> m_reports;
     bool m_has_new_services = false;
 };
 
--- a/src/daemon/peer_messenger.cpp
+++ b/src/daemon/peer_messenger.cpp
@@ -1,7 +1,10 @@
 #include "daemon/peer_messenger.h"
 
+#include "peer/level_codec.h"
+
 #include <grpcpp/client_context.h>
 #include <memory>
+#include <thread>
 
 namespace galenaroad {
 
@@ -22,6 +25,14 @@
     peer::GossipResponse response;
 };
 
+/// A level report on its way; lives until its call has ended.
+struct pending_report {
+    std::shared_ptr<const peer_client> client;
+    grpc::ClientContext context;
+    peer::LevelReport message;
+    peer::LevelResponse response;
+};
+
 } // namespace
 
 peer_messenger::peer_messenger(client_pool& clients, const message_codec& codec, events on)
@@ -43,6 +54,24 @@
                                            [pending](const grpc::Status& /*status*/) {});
 }
 
+void peer_messenger::report(const outgoing_level_report& outgoing)
+{
+    auto pending = std::make_shared<pending_report>();
+    pending->client = m_clients.client(outgoing.address);
+    pending->message = level_codec::encode(outgoing.report);
+    pending->context.set_deadline(std::chrono::system_clock::now() + gossip_timeout);
+    ++m_open_reports;
+    pending->client->stub->async()->ReportLevels(
+        &pending->context, &pending->message, &pending->response,
+        [this, pending](const grpc::Status& status) {
+            if (status.ok()) {
+                m_events.references(level_codec::decode(pending->message),
+                                    level_codec::decode(pending->response));
+            }
+            --m_open_reports;
+        });
+}
+
 void peer_messenger::exchange(outgoing_synchronise outgoing)
 {
     m_member_thread.post([this, outgoing = std::move(outgoing)] {
@@ -65,6 +94,10 @@
 
 void peer_messenger::stop()
 {
+    // Each report ends by its deadline at the latest, and its end uses this object.
+    while (m_open_reports.load() > 0) {
+        std::this_thread::sleep_for(1ms);
+    }
     m_member_thread.stop();
     m_contract_thread.stop();
 }
--- a/src/daemon/peer_messenger.h
+++ b/src/daemon/peer_messenger.h
@@ -2,11 +2,13 @@
 
 #include "configuration/configuration_follower.h"
 #include "daemon/control_thread.h"
+#include "health/level_report.h"
 #include "membership/membership.h"
 #include "model/contract_version.h"
 #include "peer/client_pool.h"
 #include "peer/message_codec.h"
 
+#include <atomic>
 #include <functional>
 #include <string>
 
@@ -19,6 +21,7 @@
     struct events {
         std::function<void(const std::string& address, member_response)> members;
         std::function<void(const std::string& address, contract_response)> contracts;
+        std::function<void(const level_report&, std::vector<class_reference>)> references;
     };
 
     /// @param clients the channels.
@@ -30,6 +33,10 @@
     /// @param outgoing the message.
     void send(const outgoing_gossip& outgoing);
 
+    /// Reports levels to an evaluator and does not wait for the answer.
+    /// @param outgoing the report.
+    void report(const outgoing_level_report& outgoing);
+
     /// Starts an exchange of members.
     /// @param outgoing the exchange.
     void exchange(outgoing_synchronise outgoing);
@@ -50,6 +57,7 @@
     client_pool& m_clients;
     const message_codec& m_codec;
     events m_events;
+    std::atomic<int> m_open_reports{0};
     control_thread m_member_thread;
     control_thread m_contract_thread;
 };
--- a/src/health/outlier_detector.cpp
+++ b/src/health/outlier_detector.cpp
@@ -19,6 +19,11 @@
 constexpr double moving_share = 0.5;
 // With more than this share of the upstreams moving, the service as a whole has changed.
 constexpr double moving_limit = 0.25;
+// A reference is renewed every second, and faster while an upstream is suspected.
+constexpr std::chrono::seconds reference_lifetime{3};
+// Owners report their levels within this time once they see a change, so that a reference received
+// later shows whether the whole service has changed.
+constexpr std::chrono::milliseconds reference_settling{300};
 constexpr double least_suspect_preference = 0.08;
 constexpr double shared_preference = 0.25;
 constexpr std::array<request_class, upstream_window::class_count> all_classes{
@@ -143,6 +148,15 @@
     }
 }
 
+void outlier_detector::set_reference(const upstream_id& id, request_class work,
+                                     const peer_reference& reference, steady_time now)
+{
+    const auto found = m_candidates.find(id);
+    if (found != m_candidates.end()) {
+        found->second.received[static_cast<std::size_t>(work)] = {reference, now, true};
+    }
+}
+
 std::map<upstream_id, health_verdict> outlier_detector::evaluate(steady_time now)
 {
     std::map<upstream_id, health_verdict> verdicts;
@@ -187,16 +201,20 @@
     if (samples.empty() && open.empty()) {
         return verdict;
     }
-    const auto usual = group.usual(position);
+    const auto& received = known.received[static_cast<std::size_t>(work)];
+    auto usual = group.usual(position);
+    if (!usual && received.is_set && now - received.at < reference_lifetime) {
+        usual = received.reference;
+    }
     if (!usual) {
         return verdict;
     }
     const evidence_test first(m_settings, *usual);
     const test_evidence failures =
-        confirm(first.failures(samples), group, position,
+        confirm(first.failures(samples), group, position, received,
                 [&](const evidence_test& test) { return test.failures(samples); });
     const test_evidence latencies =
-        confirm(first.latencies(samples, open, now), group, position,
+        confirm(first.latencies(samples, open, now), group, position, received,
                 [&](const evidence_test& test) { return test.latencies(samples, open, now); });
     verdict.failure_evidence = failures.value;
     verdict.latency_evidence = latencies.value;
@@ -212,12 +230,16 @@
 
 test_evidence
 outlier_detector::confirm(test_evidence found, const peer_group& group, std::size_t position,
+                          const received_reference& received,
                           const std::function<test_evidence(const evidence_test&)>& repeat) const
 {
     if (found.value < m_settings.evidence_threshold * suspect_share) {
         return found;
     }
-    const auto same_period = group.since(position, found.since);
+    auto same_period = group.since(position, found.since);
+    if (!same_period && received.is_set && received.at >= found.since + reference_settling) {
+        same_period = received.reference;
+    }
     if (!same_period) {
         found.value = std::min(found.value, suspect_limit());
         return found;
--- a/src/health/outlier_detector.h
+++ b/src/health/outlier_detector.h
@@ -5,6 +5,7 @@
 #include "health/upstream_window.h"
 #include "model/upstream.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <string>
@@ -75,6 +76,15 @@
     /// @param id the upstream.
     void discard_evidence(const upstream_id& id);
 
+    /// Sets the reference that the service's evaluator computed from all owners' levels. It is used
+    /// while this daemon itself sees too few peers, as with little traffic.
+    /// @param id the upstream.
+    /// @param work the request class.
+    /// @param reference the reference without the upstream itself.
+    /// @param now the time of receipt.
+    void set_reference(const upstream_id& id, request_class work, const peer_reference& reference,
+                       steady_time now);
+
     /// Judges all upstreams.
     /// @param now the current time.
     /// @return a verdict for each known upstream.
@@ -86,10 +96,16 @@
     const upstream_window* window(const upstream_id& id) const;
 
 private:
+    struct received_reference {
+        peer_reference reference;
+        steady_time at;
+        bool is_set = false;
+    };
     struct candidate {
         upstream_window window;
         std::vector<open_attempt> open;
         steady_time warm_at;
+        std::array<received_reference, upstream_window::class_count> received;
     };
 
     void judge_class(request_class work, steady_time now,
@@ -98,6 +114,7 @@
                          request_class work, steady_time now) const;
     /// Repeats a test against the peers over the period of its evidence.
     test_evidence confirm(test_evidence found, const peer_group& group, std::size_t position,
+                          const received_reference& received,
                           const std::function<test_evidence(const evidence_test&)>& repeat) const;
     double suspect_limit() const;
     void limit_to_suspect(health_verdict& verdict) const;
--- a/src/health/peer_group.h
+++ b/src/health/peer_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "health/class_level.h"
 #include "health/evidence_test.h"
 #include "health/upstream_window.h"
 
@@ -37,18 +38,9 @@
     std::optional<peer_reference> since(std::size_t candidate, steady_time since) const;
 
 private:
-    struct level {
-        const std::deque<attempt_sample>* samples;
-        bool usable = false; ///< Whether there are enough successes for a level.
-        double log_time = 0;
-        double log_spread = 0;
-        std::size_t timed = 0; ///< Successes behind the level.
-        std::size_t judged = 0;
-        std::size_t failed = 0;
-    };
-
     request_class m_work;
-    std::vector<level> m_levels;
+    std::vector<const std::deque<attempt_sample>*> m_samples;
+    std::vector<class_level> m_levels;
 };
 
 } // namespace galenaroad
--- /dev/null
+++ b/src/health/reference_statistics.cpp
@@ -0,0 +1,63 @@
+#include "health/reference_statistics.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace galenaroad {
+
+namespace {
+
+// Standard deviation of a normal distribution per median absolute deviation.
+constexpr double deviation_scale = 1.4826;
+// Few samples can agree by chance; a smaller spread would exaggerate a small difference.
+constexpr double least_spread = 0.35;
+constexpr double greatest_spread = 1.2;
+
+// Standard error of a median, in standard deviations and for one sample.
+constexpr double median_error = 1.25;
+// The peers' level is taken this many standard errors above its estimate. Without the margin a
+// level from few peers, as in a rare request class, is wrong in the same direction for all
+// attempts of the candidate, and 21 transfers were enough to eject a healthy server.
+constexpr double level_margin = 2;
+
+} // namespace
+
+double reference_statistics::median(std::vector<double>& values)
+{
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+double reference_statistics::robust_spread(std::vector<double>& values, double centre)
+{
+    for (double& value : values) {
+        value = std::abs(value - centre);
+    }
+    return deviation_scale * median(values);
+}
+
+double reference_statistics::bounded_spread(double spread)
+{
+    return std::clamp(spread, least_spread, greatest_spread);
+}
+
+double reference_statistics::cautious_level(double level, double spread, std::size_t samples)
+{
+    return level + level_margin * median_error * spread / std::sqrt(static_cast<double>(samples));
+}
+
+double reference_statistics::trimmed_failure_ratio(std::vector<failure_count>& counts)
+{
+    std::sort(counts.begin(), counts.end(),
+              [](const failure_count& a, const failure_count& b) { return a.ratio() < b.ratio(); });
+    failure_count pool;
+    const std::size_t kept = counts.size() - counts.size() / 4;
+    for (std::size_t index = 0; index < kept; ++index) {
+        pool.judged += counts[index].judged;
+        pool.failed += counts[index].failed;
+    }
+    return pool.ratio();
+}
+
+} // namespace galenaroad
--- a/src/health/service_health.h
+++ b/src/health/service_health.h
@@ -67,6 +67,17 @@
     /// @param now the current time.
     void returned(const upstream_id& id, steady_time now);
 
+    /// Passes a reference to the detector; see outlier_detector::set_reference().
+    void set_reference(const upstream_id& id, request_class work, const peer_reference& reference,
+                       steady_time now)
+    {
+        m_detector.set_reference(id, work, reference, now);
+    }
+
+    /// @param id the upstream.
+    /// @return its window, or null for an unknown upstream.
+    const upstream_window* window(const upstream_id& id) const { return m_detector.window(id); }
+
     /// Judges all upstreams. To be called about every 100 ms.
     /// @param now the current time.
     void evaluate(steady_time now);
--- a/src/peer/peer_service.cpp
+++ b/src/peer/peer_service.cpp
@@ -53,6 +53,17 @@
     return grpc::Status::OK;
 }
 
+grpc::Status peer_service::ReportLevels(grpc::ServerContext* /*context*/,
+                                        const peer::LevelReport* request,
+                                        peer::LevelResponse* response)
+{
+    if (!m_handlers.levels) {
+        return unimplemented();
+    }
+    *response = m_handlers.levels(*request);
+    return grpc::Status::OK;
+}
+
 grpc::Status peer_service::Synchronise(grpc::ServerContext* /*context*/,
                                        const peer::SynchroniseRequest* request,
                                        grpc::ServerWriter<peer::SynchroniseResponse>* writer)
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -16,6 +16,8 @@
                               peer::FenceResponse* response) override;
     grpc::Status Gossip(grpc::ServerContext* context, const peer::GossipMessage* request,
                         peer::GossipResponse* response) override;
+    grpc::Status ReportLevels(grpc::ServerContext* context, const peer::LevelReport* request,
+                              peer::LevelResponse* response) override;
     grpc::Status Synchronise(grpc::ServerContext* context, const peer::SynchroniseRequest* request,
                              grpc::ServerWriter<peer::SynchroniseResponse>* writer) override;
 
