--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -44,6 +44,8 @@
       m_clients(max_peer_channels),
       m_backends(m_clock, max_idle_backend_connections),
       m_ids(seeded_engine()),
+      m_spans(m_settings.spans_file, "galenaroadd", m_settings.instance),
+      m_telemetry(m_spans, m_metrics, m_clock, m_ids),
       m_owner(make_owner_parts()),
       m_forwarder(make_entry_parts()),
       m_action_forwarder(m_forwarder, [this] { return std::atomic_load(&m_actions); }),
@@ -132,6 +134,7 @@
             m_gate,
             m_ids,
             m_action_forwarder,
+            m_telemetry,
             [this]() -> result<std::string> {
                 const auto actions = std::atomic_load(&m_actions);
                 if (!actions) {
@@ -170,6 +173,7 @@
             m_backends,
             m_published.upstreams,
             m_published.incarnation,
+            m_telemetry,
             [this](const owner_observation& seen) {
                 m_control.observe(observation_mapping::from_owner(seen, m_settings.instance,
                                                                   m_clock.steady_now()));
@@ -216,7 +220,7 @@
     admin_actions actions;
     actions.announce = [this](const auto& made) { m_control.announce(made); };
     actions.withdraw = [this](const auto& name) { m_control.withdraw(name); };
-    actions.metrics = [] { return std::string(); };
+    actions.metrics = [this] { return m_metrics.text(); };
     actions.not_ready = [this]() -> std::string {
         return m_published.view.load()->ready ? "" : "No configuration is in force yet";
     };
