Send the demonstration's load to both regions

Cause: with load from one daemon only two peers had traffic, too few to compare. Ruled out: a comparison with two peers, which cannot tell which one is sick. Change: searches go to the daemons of both regions, as the callers' do.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -129,10 +129,15 @@
 
 started_work() { curl -sS "http://$1/_counters" | jq .started; }
 
-# load COUNT: sends searches, eight at a time.
+# load COUNT: sends searches to the daemons of both regions, eight at a time to each.
 load() {
-  curl -s -Z --no-progress-meter --parallel-max 8 --max-time 60 -o /dev/null -H 'Host: tetteh.example' \
-    "http://$entry/finder?q=[1-$1]" || true
+  local target loads=()
+  for target in "$entry" "$(address gac-1-a entry)"; do
+    curl -s -Z --no-progress-meter --parallel-max 8 --max-time 60 -o /dev/null \
+      -H 'Host: tetteh.example' "http://$target/finder?q=[1-$(($1 / 2))]" &
+    loads+=($!)
+  done
+  wait "${loads[@]}" || true
 }
 
 print_trace() {
