Send gossip by UDP; record issued actions before their response ends

Cause: gossip went out as a gRPC call to a new member each time, a connection per message at 6,500 members; and a caller that repeated an issued key at once was told action_in_progress although it held the whole response. Ruled out: more cached channels, which grow with the fleet; waiting for the table before a response with a caller's key, since the table may be slow. Change: gossip_socket on the peer port; recording_sink holds the last part of a response until an issued action is recorded. Conclusion: both changes stay.

--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -30,9 +30,15 @@
 {
 }
 
-void control_shell::start(const std::string& peer_address)
+std::error_code control_shell::start(const std::string& peer_address)
 {
     m_control.run_and_wait([&] { m_fleet.start(peer_address); });
+    return m_gossip.start(peer_address, [this](const peer::GossipMessage& message) {
+        m_control.post_observation([this, received = m_codec.decode(message)] {
+            m_fleet.receive(received);
+            send_waiting();
+        });
+    });
 }
 
 void control_shell::announce(const upstream_announcement& made)
@@ -63,12 +69,6 @@
 
 void control_shell::add_handlers(peer_handlers& handlers)
 {
-    handlers.gossip = [this](const auto& message) {
-        m_control.post([this, received = m_codec.decode(message)] {
-            m_fleet.receive(received);
-            send_waiting();
-        });
-    };
     handlers.levels = [this](const peer::LevelReport& message) {
         std::vector<class_reference> references;
         m_control.run_and_wait(
@@ -83,6 +83,7 @@
 void control_shell::stop()
 {
     m_store.stop();
+    m_gossip.stop();
     m_messenger.stop();
     m_control.stop();
 }
@@ -103,7 +104,7 @@
         return;
     }
     for (const auto& each : m_fleet.members()->take_gossip()) {
-        m_messenger.send(each);
+        m_gossip.send(each.address, message_codec::encode(each.message));
     }
     for (auto& each : m_fleet.members()->take_synchronise()) {
         m_messenger.exchange(std::move(each));
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -6,6 +6,7 @@
 #include "daemon/peer_messenger.h"
 #include "daemon/store_reader.h"
 #include "membership/name_pool.h"
+#include "peer/gossip_socket.h"
 #include "peer/peer_handlers.h"
 
 #include <atomic>
@@ -44,8 +45,10 @@
                   random_engine random);
 
     /// Starts the membership.
-    /// @param peer_address the bound address of the gRPC listener.
-    void start(const std::string& peer_address);
+    /// @param peer_address the bound address of the gRPC listener; gossip uses the same port by
+    /// UDP.
+    /// @return a code of zero, or `settings_invalid` when the UDP port cannot be bound.
+    std::error_code start(const std::string& peer_address);
 
     /// Adds or renews a backend server of this instance; in force on return.
     /// @param made its announcement.
@@ -97,6 +100,7 @@
     store_reader m_reader;
     steady_time m_last_judgement;
     control_thread m_control;
+    gossip_socket m_gossip;
     peer_messenger m_messenger;
     std::unique_ptr<ejection_worker> m_ejections; ///< Used by the store thread only.
     control_thread m_store;
--- a/src/daemon/peer_messenger.cpp
+++ b/src/daemon/peer_messenger.cpp
@@ -12,19 +12,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto gossip_timeout = 300ms;
+constexpr auto report_timeout = 300ms;
 constexpr auto connect_timeout = 300ms;
 constexpr auto exchange_timeout = 2s;
 constexpr auto idle_interval = 1h;
 
-/// A gossip message on its way; lives until its call has ended.
-struct pending_gossip {
-    std::shared_ptr<const peer_client> client;
-    grpc::ClientContext context;
-    peer::GossipMessage message;
-    peer::GossipResponse response;
-};
-
 /// A level report on its way; lives until its call has ended.
 struct pending_report {
     std::shared_ptr<const peer_client> client;
@@ -44,22 +36,12 @@
 {
 }
 
-void peer_messenger::send(const outgoing_gossip& outgoing)
-{
-    auto pending = std::make_shared<pending_gossip>();
-    pending->client = m_clients.client(outgoing.address);
-    pending->message = message_codec::encode(outgoing.message);
-    pending->context.set_deadline(std::chrono::system_clock::now() + gossip_timeout);
-    pending->client->stub->async()->Gossip(&pending->context, &pending->message, &pending->response,
-                                           [pending](const grpc::Status& /*status*/) {});
-}
-
 void peer_messenger::report(const outgoing_level_report& outgoing)
 {
     auto pending = std::make_shared<pending_report>();
     pending->client = m_clients.client(outgoing.address);
     pending->message = level_codec::encode(outgoing.report);
-    pending->context.set_deadline(std::chrono::system_clock::now() + gossip_timeout);
+    pending->context.set_deadline(std::chrono::system_clock::now() + report_timeout);
     ++m_open_reports;
     pending->client->stub->async()->ReportLevels(
         &pending->context, &pending->message, &pending->response,
--- a/src/daemon/peer_messenger.h
+++ b/src/daemon/peer_messenger.h
@@ -29,10 +29,6 @@
     /// @param on the events.
     peer_messenger(client_pool& clients, const message_codec& codec, events on);
 
-    /// Sends a gossip message and does not wait for it.
-    /// @param outgoing the message.
-    void send(const outgoing_gossip& outgoing);
-
     /// Reports levels to an evaluator and does not wait for the answer.
     /// @param outgoing the report.
     void report(const outgoing_level_report& outgoing);
--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -81,7 +81,9 @@
     if (!peer) {
         return tl::make_unexpected(peer.error());
     }
-    m_control.start(*peer);
+    if (const auto failed = m_control.start(*peer)) {
+        return tl::make_unexpected(failed);
+    }
     m_peer_address = *peer;
     follow_incarnation();
     const auto admin = m_admin_listener.start(m_settings.admin_address);
--- a/src/peer/peer_handlers.h
+++ b/src/peer/peer_handlers.h
@@ -16,7 +16,6 @@
     std::function<void(grpc::ServerContext&, forward_stream&)> forward;
     std::function<void(grpc::ServerContext&, forward_stream&)> issued_action;
     std::function<peer::FenceResponse(const peer::FenceRequest&)> fence;
-    std::function<void(const peer::GossipMessage&)> gossip;
     std::function<peer::LevelResponse(const peer::LevelReport&)> levels;
     /// Called by `Synchronise` for each part of the response; returns false when the peer is gone.
     using synchronise_writer = std::function<bool(const peer::SynchroniseResponse&)>;
--- a/src/peer/peer_service.cpp
+++ b/src/peer/peer_service.cpp
@@ -42,17 +42,6 @@
     return grpc::Status::OK;
 }
 
-grpc::Status peer_service::Gossip(grpc::ServerContext* /*context*/,
-                                  const peer::GossipMessage* request,
-                                  peer::GossipResponse* /*response*/)
-{
-    if (!m_handlers.gossip) {
-        return unimplemented();
-    }
-    m_handlers.gossip(*request);
-    return grpc::Status::OK;
-}
-
 grpc::Status peer_service::ReportLevels(grpc::ServerContext* /*context*/,
                                         const peer::LevelReport* request,
                                         peer::LevelResponse* response)
--- a/src/peer/peer_service.h
+++ b/src/peer/peer_service.h
@@ -14,8 +14,6 @@
     grpc::Status IssuedAction(grpc::ServerContext* context, forward_stream* stream) override;
     grpc::Status FenceAttempt(grpc::ServerContext* context, const peer::FenceRequest* request,
                               peer::FenceResponse* response) override;
-    grpc::Status Gossip(grpc::ServerContext* context, const peer::GossipMessage* request,
-                        peer::GossipResponse* response) override;
     grpc::Status ReportLevels(grpc::ServerContext* context, const peer::LevelReport* request,
                               peer::LevelResponse* response) override;
     grpc::Status Synchronise(grpc::ServerContext* context, const peer::SynchroniseRequest* request,
--- a/src/proxy/action_forwarder.cpp
+++ b/src/proxy/action_forwarder.cpp
@@ -86,9 +86,17 @@
     order.attempt_id = ticket.attempt_id;
     recording_sink recorder(sink);
     auto outcome = m_forward.forward(order, body, recorder);
-    outcome.sink_gone = outcome.sink_gone || recorder.is_receiver_gone();
     if (outcome.ok()) {
-        gate.completed(ticket, recorder.take());
+        // A caller that asks again at once finds the response of an issued key. The table may be
+        // slow, so that with a caller's key the response does not wait for it.
+        if (ticket.way == action_way::issued_key) {
+            gate.completed(ticket, recorder.copy());
+            recorder.flush();
+        }
+        else {
+            recorder.flush();
+            gate.completed(ticket, recorder.copy());
+        }
     }
     else if (outcome.run == run_state::not_run) {
         gate.not_run(ticket, proof_of(outcome));
@@ -96,6 +104,7 @@
     else {
         gate.outcome_unknown(ticket);
     }
+    outcome.sink_gone = outcome.sink_gone || recorder.is_receiver_gone();
     return outcome;
 }
 
--- a/src/proxy/recording_sink.cpp
+++ b/src/proxy/recording_sink.cpp
@@ -14,7 +14,7 @@
     for (const auto& field : head.headers) {
         m_copy.headers.push_back({field.name, field.value});
     }
-    m_receiver_gone = !m_next.begin(head);
+    m_held_head = head;
     return true;
 }
 
@@ -23,10 +23,21 @@
     const auto limit = action_gate::max_recorded_body_bytes + 1;
     const auto room = limit - std::min(limit, m_copy.body.size());
     m_copy.body.append(bytes.substr(0, room));
-    if (!m_receiver_gone) {
-        m_receiver_gone = !m_next.write(bytes);
-    }
+    flush();
+    m_held_bytes = bytes;
     return true;
 }
 
+void recording_sink::flush()
+{
+    if (m_held_head) {
+        m_receiver_gone = !m_next.begin(*m_held_head);
+        m_held_head.reset();
+    }
+    if (!m_held_bytes.empty() && !m_receiver_gone) {
+        m_receiver_gone = !m_next.write(m_held_bytes);
+    }
+    m_held_bytes.clear();
+}
+
 } // namespace galenaroad
