Serve drains and notifications of accepted contracts

Cause: galenaroadctl drain, undrain and the notification after apply had no handler in the daemon. Ruled out: trusting the body of a notification, which could put a contract in force that the table never accepted; the daemon reads the table at once. Change: admin paths for both, drains carried out by the ejection ledger on the store thread and renewed by the evaluator; callers' open attempts count only when their instance has answered since.

--- a/src/daemon/admin_handler.cpp
+++ b/src/daemon/admin_handler.cpp
@@ -3,8 +3,10 @@
 #include "proxy/problem.h"
 
 #include <Poco/Exception.h>
+#include <Poco/URI.h>
 #include <istream>
 #include <string_view>
+#include <vector>
 
 namespace galenaroad {
 
@@ -15,6 +17,8 @@
 using Poco::Net::HTTPServerResponse;
 
 constexpr std::string_view upstream_prefix = "/v1/upstreams/";
+constexpr std::string_view drain_prefix = "/v1/drains/";
+constexpr std::string_view contract_prefix = "/v1/contracts/";
 
 void refuse(HTTPServerResponse& response, error_kind kind, std::string detail)
 {
@@ -53,6 +57,17 @@
         handle_upstream(path.substr(upstream_prefix.size()), request, response);
         return;
     }
+    if (path.rfind(drain_prefix, 0) == 0) {
+        handle_drain(path, request, response);
+        return;
+    }
+    // The table decides what is accepted; the body of the notification is not trusted.
+    if (path.rfind(contract_prefix, 0) == 0 && request.getMethod() == "POST") {
+        read_body(request);
+        m_actions.contract_accepted();
+        send_no_content(response);
+        return;
+    }
     if (path == "/metrics") {
         send_text(response, "text/plain; version=0.0.4; charset=utf-8", m_actions.metrics());
         return;
@@ -83,6 +98,27 @@
     refuse(response, error_kind::invalid_request, "Use PUT or DELETE");
 }
 
+void admin_handler::handle_drain(const std::string& path, HTTPServerRequest& request,
+                                 HTTPServerResponse& response) const
+{
+    const auto& method = request.getMethod();
+    std::vector<std::string> parts;
+    Poco::URI(path).getPathSegments(parts);
+    constexpr std::size_t part_count = 6;
+    if (parts.size() != part_count || (method != "PUT" && method != "DELETE")) {
+        refuse(response, error_kind::invalid_request,
+               "Use PUT or DELETE with /v1/drains/BUSINESS/SERVICE/INSTANCE/UPSTREAM");
+        return;
+    }
+    const auto failed =
+        m_actions.drain({parts[2], parts[3]}, {parts[4], parts[5]}, method == "PUT");
+    if (failed) {
+        refuse(response, kind_of(failed), "");
+        return;
+    }
+    send_no_content(response);
+}
+
 void admin_handler::announce(const std::string& name, HTTPServerRequest& request,
                              HTTPServerResponse& response) const
 {
--- a/src/daemon/admin_handler.h
+++ b/src/daemon/admin_handler.h
@@ -2,6 +2,7 @@
 
 #include "base/error_kind.h"
 #include "daemon/upstream_announcement.h"
+#include "model/upstream.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -15,6 +16,10 @@
 struct admin_actions {
     std::function<void(const upstream_announcement&)> announce;
     std::function<void(const std::string& upstream)> withdraw;
+    /// Drains an upstream or ends its drain.
+    std::function<std::error_code(const service_id&, const upstream_id&, bool is_drained)> drain;
+    /// A change of a contract was accepted.
+    std::function<void()> contract_accepted;
     std::function<std::string()> metrics;
     /// Why the daemon is not ready, or an empty text when it is.
     std::function<std::string()> not_ready;
@@ -38,6 +43,8 @@
                          Poco::Net::HTTPServerResponse& response) const;
     void announce(const std::string& name, Poco::Net::HTTPServerRequest& request,
                   Poco::Net::HTTPServerResponse& response) const;
+    void handle_drain(const std::string& path, Poco::Net::HTTPServerRequest& request,
+                      Poco::Net::HTTPServerResponse& response) const;
     void report_readiness(Poco::Net::HTTPServerResponse& response) const;
 
     const admin_actions& m_actions;
--- a/src/daemon/control_shell.cpp
+++ b/src/daemon/control_shell.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control_shell.h"
 
+#include "base/error_kind.h"
 #include "peer.pb.h"
 #include "peer/level_codec.h"
 
@@ -132,11 +133,16 @@
     }
     auto orders = m_fleet.take_orders();
     if (!orders.empty()) {
-        m_store.post([this, orders = std::move(orders)] { carry_out(orders); });
+        m_store.post([this, orders = std::move(orders)] {
+            for (const auto& order : orders) {
+                ejections().carry_out(order);
+            }
+        });
     }
 }
 
-void control_shell::carry_out(const std::vector<ejection_order>& orders)
+// Used on the store thread only. The writer's identity needs the incarnation after joining.
+ejection_worker& control_shell::ejections()
 {
     if (!m_ejections) {
         const auto writer =
@@ -149,8 +155,45 @@
                                                             });
                                                         });
     }
-    for (const auto& order : orders) {
-        m_ejections->carry_out(order);
+    return *m_ejections;
+}
+
+std::error_code control_shell::drain(const service_id& service, const upstream_id& upstream,
+                                     bool is_drained)
+{
+    ejection_order order;
+    order.kind = is_drained ? ejection_order_kind::drain : ejection_order_kind::release;
+    order.upstream = upstream;
+    order.reason = "operator";
+    m_control.run_and_wait([&] { order.capacity = m_fleet.health().capacity_of(service); });
+    if (is_drained && order.capacity.find(upstream) == nullptr) {
+        return make_error_code(error_kind::route_not_found);
+    }
+    std::error_code failed;
+    m_store.run_and_wait([&] { failed = ejections().carry_out(order); });
+    return failed;
+}
+
+void control_shell::notify_accepted()
+{
+    m_store.post([this] { read_table_now(); });
+}
+
+void control_shell::read_table_now()
+{
+    const auto view = m_parts.published.view.load();
+    std::vector<contract_head> held;
+    if (view->contracts) {
+        for (const auto& [business, value] : view->contracts->contracts) {
+            held.push_back({business, value->version});
+        }
+    }
+    auto read = m_table_reader.read(held);
+    if (read) {
+        m_control.post([this, contracts = std::move(*read)] {
+            m_fleet.apply_table(contracts);
+            send_waiting();
+        });
     }
 }
 
--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -68,6 +68,16 @@
     /// Notes that a peer holds a version of a contract.
     void heard(const contract_head& head, const std::string& address);
 
+    /// Drains an upstream or ends its drain. Waits for the table service.
+    /// @param service the service.
+    /// @param upstream the upstream.
+    /// @param is_drained whether it is drained from now on.
+    /// @return a code of zero, `floor_would_be_breached`, or the error of the table service.
+    std::error_code drain(const service_id& service, const upstream_id& upstream, bool is_drained);
+
+    /// Reads the table of contracts as soon as possible, because a change was accepted.
+    void notify_accepted();
+
     /// Notes an attempt that ended; may be dropped when the control thread is behind.
     /// @param ended the attempt.
     void observe(attempt_observation ended);
@@ -87,7 +97,8 @@
     void send_waiting();
     void store_round();
     void judge();
-    void carry_out(const std::vector<ejection_order>& orders);
+    ejection_worker& ejections();
+    void read_table_now();
     void synchronise(const peer::SynchroniseRequest& request,
                      const peer_handlers::synchronise_writer& write);
     peer_messenger::events make_events();
--- a/src/daemon/ejection_worker.cpp
+++ b/src/daemon/ejection_worker.cpp
@@ -20,7 +20,7 @@
 {
 }
 
-void ejection_worker::carry_out(const ejection_order& order)
+std::error_code ejection_worker::carry_out(const ejection_order& order)
 {
     const auto row = apply(order);
     if (row) {
@@ -31,11 +31,12 @@
                                      {"reason", order.reason}});
         }
         m_written(order, *row);
-        return;
+        return {};
     }
     structured_log::info("Ejection row is not changed",
                          {{"upstream", name_of(order.upstream)},
                           {"error", std::string(answer_for(kind_of(row.error())).name)}});
+    return row.error();
 }
 
 result<aged_row> ejection_worker::apply(const ejection_order& order)
@@ -45,6 +46,8 @@
         return m_ledger.propose(order.capacity, order.upstream, order.reason);
     case ejection_order_kind::renew:
         return m_ledger.renew(order.capacity, order.upstreams);
+    case ejection_order_kind::drain:
+        return m_ledger.drain(order.capacity, order.upstream, order.reason);
     case ejection_order_kind::release:
         break;
     }
--- a/src/daemon/ejection_worker.h
+++ b/src/daemon/ejection_worker.h
@@ -24,7 +24,8 @@
 
     /// Carries out one order.
     /// @param order the order.
-    void carry_out(const ejection_order& order);
+    /// @return a code of zero, or why the row was not changed.
+    std::error_code carry_out(const ejection_order& order);
 
 private:
     result<aged_row> apply(const ejection_order& order);
--- a/src/daemon/fleet_health.cpp
+++ b/src/daemon/fleet_health.cpp
@@ -105,7 +105,8 @@
         tracked.health.evaluate(now);
         if (tracked.is_evaluator) {
             const auto wishes = tracked.health.ejection_wishes(now);
-            for (auto& order : tracked.evaluation.decide(tracked.capacity, wishes, now)) {
+            for (auto& order : tracked.evaluation.decide(tracked.capacity, wishes,
+                                                         m_view.has_drains(service), now)) {
                 orders.push_back(std::move(order));
             }
         }
@@ -156,6 +157,15 @@
     }
 }
 
+service_capacity fleet_health::capacity_of(const service_id& service)
+{
+    const auto& tracked = track(service);
+    if (m_has_new_services && m_members) {
+        update_capacities();
+    }
+    return tracked.capacity;
+}
+
 std::vector<outgoing_level_report> fleet_health::take_level_reports()
 {
     return std::exchange(m_reports, {});
@@ -300,7 +310,11 @@
     const auto now = m_clock.steady_now();
     std::map<service_id, std::map<upstream_id, std::vector<open_attempt>>> sorted;
     for (const auto& each : open) {
-        if (counts(each.target, each.by_owner) && !m_links.is_marked(each.target.instance, now)) {
+        // A caller that has heard nothing from an instance since cannot tell its link from it.
+        const bool is_heard =
+            each.by_owner || m_links.has_answered_since(each.target.instance, each.attempt.started);
+        if (counts(each.target, each.by_owner) && is_heard &&
+            !m_links.is_marked(each.target.instance, now)) {
             sorted[each.service][each.target].push_back(each.attempt);
         }
     }
--- a/src/daemon/fleet_health.h
+++ b/src/daemon/fleet_health.h
@@ -69,6 +69,10 @@
     /// @return the changes of rows to carry out.
     std::vector<ejection_order> tick(const std::vector<running_attempt>& open);
 
+    /// @param service a service.
+    /// @return its live members and its floor.
+    service_capacity capacity_of(const service_id& service);
+
     /// @return levels of own upstreams to report to the evaluators of their services.
     std::vector<outgoing_level_report> take_level_reports();
 
--- a/src/daemon/proxy_daemon.cpp
+++ b/src/daemon/proxy_daemon.cpp
@@ -224,6 +224,10 @@
 {
     admin_actions actions;
     actions.announce = [this](const auto& made) { m_control.announce(made); };
+    actions.drain = [this](const auto& service, const auto& upstream, bool is_drained) {
+        return m_control.drain(service, upstream, is_drained);
+    };
+    actions.contract_accepted = [this] { m_control.notify_accepted(); };
     actions.withdraw = [this](const auto& name) { m_control.withdraw(name); };
     actions.metrics = [this] { return m_metrics.text(); };
     actions.not_ready = [this]() -> std::string {
--- a/src/health/ejection_view.cpp
+++ b/src/health/ejection_view.cpp
@@ -89,6 +89,17 @@
     return standings;
 }
 
+bool ejection_view::has_drains(const service_id& service) const
+{
+    const auto found = m_rows.find(service);
+    if (found == m_rows.end()) {
+        return false;
+    }
+    const auto& entries = found->second.row.entries;
+    return std::any_of(entries.begin(), entries.end(),
+                       [](const auto& entry) { return entry.kind == removal_kind::drained; });
+}
+
 std::optional<aged_row> ejection_view::held(const service_id& service, steady_time now) const
 {
     const auto found = m_rows.find(service);
--- a/src/health/ejection_view.h
+++ b/src/health/ejection_view.h
@@ -43,6 +43,10 @@
     std::map<upstream_id, upstream_standing> standings(const service_capacity& capacity,
                                                        steady_time now) const;
 
+    /// @param service the service.
+    /// @return whether the row held has a drain.
+    bool has_drains(const service_id& service) const;
+
     /// @param service the service.
     /// @param now the current time.
     /// @return the row held with its present age, to pass on to peers.
--- a/src/health/service_evaluation.cpp
+++ b/src/health/service_evaluation.cpp
@@ -15,7 +15,7 @@
 
 std::vector<ejection_order> service_evaluation::decide(const service_capacity& capacity,
                                                        const std::vector<ejection_wish>& wishes,
-                                                       steady_time now)
+                                                       bool has_drains, steady_time now)
 {
     std::vector<ejection_order> orders;
     for (const auto& wish : wishes) {
@@ -25,7 +25,7 @@
         }
     }
     release_recovered(capacity, wishes, orders);
-    if (!m_ejected.empty() && now - m_renewed >= renewal_interval) {
+    if ((has_drains || !m_ejected.empty()) && now - m_renewed >= renewal_interval) {
         m_renewed = now;
         orders.push_back({ejection_order_kind::renew, capacity, {}, {}, m_ejected});
     }
--- a/src/health/service_evaluation.h
+++ b/src/health/service_evaluation.h
@@ -11,7 +11,7 @@
 namespace galenaroad {
 
 /// Kind of change that an evaluator asks the table service for.
-enum class ejection_order_kind { propose, renew, release };
+enum class ejection_order_kind { propose, renew, release, drain };
 
 /// A change of a service's row. Carried out by an ejection_ledger off the control thread.
 struct ejection_order {
@@ -32,10 +32,12 @@
     /// Compares what should be ejected with what is.
     /// @param capacity the live members and the floor.
     /// @param wishes the upstreams that are held.
+    /// @param has_drains whether the row holds drains, which are renewed as well.
     /// @param now the current time.
     /// @return the changes to carry out.
     std::vector<ejection_order> decide(const service_capacity& capacity,
-                                       const std::vector<ejection_wish>& wishes, steady_time now);
+                                       const std::vector<ejection_wish>& wishes, bool has_drains,
+                                       steady_time now);
 
     /// Notes that an ejection was granted.
     /// @param upstream the upstream.
