Tell the evaluator what an owner thinks of its upstream

Cause: in the demonstration a failing server was steered around but never ejected: only its owner judged it, and the evaluator rarely calls it. A fourth drain was granted that an ejection would have refused. Ruled out: waiting for the evaluator's own calls, which locality makes rare. Change: level reports carry the owner's preference and hold; the demonstration drains down to the floor and checks the refusal.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -184,6 +184,24 @@
   problem "The failing server still received work after 15 rounds"
 }
 
+# show_drain: drains upstreams of service finder until the capacity floor refuses.
+show_drain() {
+  local number code=0 drained before after
+  echo "== Draining upstreams of finder down to its floor of 14 slots"
+  for number in 1 2 3; do
+    ctl drain tetteh finder gac-1-a "finder-$number" || problem "finder-$number was not drained"
+  done
+  ctl drain tetteh finder ash-1-a finder-2 || code=$?
+  [ "$code" -eq 8 ] || problem "A drain below the floor ended with exit code $code in place of 8"
+  drained=$(address gac-1-a-finder-2 address)
+  sleep 3 # New work ends within 3 s.
+  before=$(started_work "$drained")
+  load 100
+  after=$(started_work "$drained")
+  echo "100 searches: $((after - before)) reached a drained server"
+  [ "$before" -eq "$after" ] || problem "A drained server still received work after 3 s"
+}
+
 echo "== Starting the platform's stand-ins and four daemons"
 start table standin_table_service
 start objects standin_object_store
@@ -236,5 +254,6 @@
 print_trace "$trace"
 
 show_failing_server "$(address ash-1-a-finder-1 address)"
+show_drain
 [ "$problems" -eq 0 ] || fail "$problems steps went wrong"
 echo "== Done; stopping the ${#started[@]} processes of the demonstration"
--- a/src/daemon/fleet_health.cpp
+++ b/src/daemon/fleet_health.cpp
@@ -141,7 +141,8 @@
         if (each.upstream.instance != m_own_name || window == nullptr) {
             continue;
         }
-        level_report report{service, each.upstream, {}};
+        level_report report{
+            service, each.upstream, {}, tracked.health.report_for(each.upstream, now)};
         for (const auto work : all_classes) {
             const auto level = level_of(*window, work, now);
             if (level.judged > 0) {
@@ -174,9 +175,12 @@
 std::vector<class_reference> fleet_health::answer(const level_report& report)
 {
     const auto now = m_clock.steady_now();
-    auto& levels = track(report.service).levels;
-    levels.receive(report.upstream, report.levels, now);
-    return levels.references_for(report.upstream, now);
+    auto& tracked = track(report.service);
+    if (report.upstream.instance != m_own_name) {
+        tracked.health.report(report.upstream, report.view, now);
+    }
+    tracked.levels.receive(report.upstream, report.levels, now);
+    return tracked.levels.references_for(report.upstream, now);
 }
 
 void fleet_health::set_references(const level_report& report,
--- a/src/health/level_report.h
+++ b/src/health/level_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "health/level_collector.h"
+#include "health/service_health.h"
 #include "model/upstream.h"
 
 #include <string>
@@ -13,6 +14,7 @@
     service_id service;
     upstream_id upstream;
     std::vector<reported_level> levels;
+    owner_report view; ///< The owner's own view, from which the evaluator proposes an ejection.
 };
 
 /// A level report and the peer address that it goes to.
--- a/src/peer/level_codec.cpp
+++ b/src/peer/level_codec.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr double permille = 1000;
+
 bool is_known_class(std::uint32_t work)
 {
     return work <= static_cast<std::uint32_t>(request_class::transfer);
@@ -20,6 +22,8 @@
     message.set_service(report.service.service);
     message.set_instance(report.upstream.instance);
     message.set_upstream(report.upstream.name);
+    message.set_preference_permille(static_cast<std::uint32_t>(report.view.preference * permille));
+    message.set_hold_ms(static_cast<std::uint32_t>(report.view.hold_remaining.count()));
     for (const auto& each : report.levels) {
         auto& added = *message.add_levels();
         added.set_work(static_cast<std::uint32_t>(each.work));
@@ -52,6 +56,8 @@
     level_report report;
     report.service = {message.business(), message.service()};
     report.upstream = {message.instance(), message.upstream()};
+    report.view = {message.preference_permille() / permille,
+                   std::chrono::milliseconds(message.hold_ms())};
     for (const auto& each : message.levels()) {
         if (!is_known_class(each.work())) {
             continue;
