--- a/src/experiment/entry_capacity.cpp
+++ b/src/experiment/entry_capacity.cpp
@@ -57,6 +57,7 @@
     std::shared_ptr<member_record> record;
     const int services = std::max(1, upstreams / upstreams_per_service);
     std::vector<std::shared_ptr<const service_id>> names;
+    names.reserve(static_cast<std::size_t>(services));
     for (int index = 0; index < services; ++index) {
         names.push_back(std::make_shared<service_id>(service_at(index)));
     }
