--- a/src/tests/support/test_fleet.cpp
+++ b/src/tests/support/test_fleet.cpp
@@ -73,12 +73,36 @@
     std::ofstream(path("contracts/tetteh.yaml")) << contract;
 }
 
-void test_fleet::start_daemon(const std::string& name)
+void test_fleet::start_stores()
+{
+    for (const auto& [name, program] : {std::pair("table", "standin_table_service"),
+                                        std::pair("objects", "standin_object_store")}) {
+        const std::vector<std::string> arguments{"--addresses-file",
+                                                 path(name + std::string(".json"))};
+        m_processes[name] = std::make_unique<test_process>(program, arguments);
+        m_addresses[name] = wait_for_file(arguments.back());
+    }
+    m_table = address("table", "address");
+    m_objects = address("objects", "address");
+}
+
+int test_fleet::apply(const std::string& contract, const std::string& instance) const
+{
+    std::ofstream(path("next.yaml")) << contract;
+    const std::vector<std::string> arguments{
+        "--table", m_table,          "--objects", m_objects, "--admin", address(instance, "admin"),
+        "apply",   path("next.yaml")};
+    return test_process("galenaroadctl", arguments).wait();
+}
+
+void test_fleet::start_daemon(const std::string& name, const std::string& region)
 {
     std::ofstream settings(path(name + ".yaml"));
-    settings << "instance: " << name << "\nregion: ash\ndata_centre: ash-1\n"
+    settings << "instance: " << name << "\nregion: " << region << "\ndata_centre: " << region
+             << "-1\n"
              << "addresses: {entry: '127.0.0.1:0', peer: '127.0.0.1:0', admin: '127.0.0.1:0'}\n"
-             << "platform: {table_service: '127.0.0.1:9', object_store: '127.0.0.1:9'}\n"
+             << "platform: {table_service: '" << m_table << "', object_store: '" << m_objects
+             << "'}\n"
              << "telemetry: {spans_file: '" << spans_file(name) << "', log_level: warning}\n"
              << "contracts_folder: " << path("contracts") << '\n';
     if (!m_first_peer.empty()) {
@@ -137,7 +161,7 @@
     test_answer answer;
     try {
         Poco::Net::HTTPClientSession session{Poco::Net::SocketAddress(address)};
-        session.setTimeout(Poco::Timespan(20, 0));
+        session.setTimeout(Poco::Timespan(request.timeout.count(), 0));
         Poco::Net::HTTPRequest sent(request.method, request.target, "HTTP/1.1");
         sent.setHost("tetteh.example");
         for (const auto& [name, value] : request.headers) {
@@ -151,7 +175,7 @@
         auto& stream = session.receiveResponse(received);
         Poco::StreamCopier::copyToString(stream, answer.body);
         answer.headers.insert(received.begin(), received.end());
-        const bool has_length = received.hasContentLength();
+        const bool has_length = received.hasContentLength() && request.method != "HEAD";
         const bool is_whole = !has_length || received.getContentLength64() ==
                                                  static_cast<Poco::Int64>(answer.body.size());
         answer.status = is_whole ? received.getStatus() : 0;
--- a/src/tests/support/test_fleet.h
+++ b/src/tests/support/test_fleet.h
@@ -28,6 +28,7 @@
     std::string target = "/";
     std::string body{};
     std::map<std::string, std::string> headers{};
+    std::chrono::seconds timeout{20}; ///< How long the caller waits for bytes.
 };
 
 /// A program that a test started; killed at the end of the test.
@@ -64,9 +65,19 @@
     /// @param contract the declaration of business `tetteh` as YAML.
     explicit test_fleet(const std::string& contract);
 
+    /// Starts the table service `table` and the object store `objects` for all later daemons.
+    void start_stores();
+
+    /// Changes the contract through the table service.
+    /// @param contract the declaration as YAML.
+    /// @param instance the daemon that is told.
+    /// @return the exit code of galenaroadctl.
+    int apply(const std::string& contract, const std::string& instance) const;
+
     /// Starts a daemon; all later ones join the first.
     /// @param name the instance's name.
-    void start_daemon(const std::string& name);
+    /// @param region its region.
+    void start_daemon(const std::string& name, const std::string& region = "ash");
 
     /// Starts a stand-in backend server beside a daemon.
     /// @param name its name.
@@ -102,6 +113,8 @@
 
     Poco::TemporaryFile m_folder;
     std::string m_first_peer;
+    std::string m_table = "127.0.0.1:9";   ///< Nothing listens there.
+    std::string m_objects = "127.0.0.1:9"; ///< Nothing listens there.
     std::map<std::string, nlohmann::json> m_addresses;
     std::map<std::string, std::unique_ptr<test_process>> m_processes;
 };
