--- a/src/tests/fleet_history_test.cpp
+++ b/src/tests/fleet_history_test.cpp
@@ -39,8 +39,9 @@
               << successes(history, call_kind::order) << " orders answered, " << history.runs.size()
               << " runs, " << history.versions.size() << " versions seen, "
               << history.accepts.size() << " accepted\n";
-    INFO("seed " << seed);
-    CHECK(fleet_history_checker(history).report() == "");
+    const auto report = fleet_history_checker(history).report();
+    INFO("seed " << seed << '\n' << report);
+    CHECK(report.empty());
     // Without work the rules hold trivially.
     CHECK(successes(history, call_kind::search) > 10);
     CHECK(successes(history, call_kind::download) > 10);
@@ -50,6 +51,43 @@
 
 } // namespace
 
+TEST_CASE("fleet_history: faults planted into a recorded history are found", "[history]")
+{
+    // Guards against records that lack what a rule needs, so that the rule can never fail.
+    faulty_fleet fleet({chosen_seed(), {fault::server_leaving}});
+    auto history = fleet.run();
+    REQUIRE(fleet_history_checker(history).violations().empty());
+    const auto planted = [&](fleet_rule rule, const auto& change) {
+        auto changed = history;
+        change(changed);
+        return fleet_history_checker(changed).broken_rules().count(rule) == 1;
+    };
+    const auto any_call = [](fleet_history& changed, call_kind kind) -> call_event& {
+        return *std::find_if(changed.calls.begin(), changed.calls.end(), [&](const auto& call) {
+            return call.kind == kind && call.status / 100 == 2;
+        });
+    };
+    CHECK(planted(fleet_rule::one_run, [](auto& all) { all.runs.push_back(all.runs.front()); }));
+    CHECK(planted(fleet_rule::true_not_run, [](auto& all) {
+        // The answer to a request that ran becomes a refusal.
+        for (auto& call : all.calls) {
+            call.run = call.request_id == all.runs.front().request_id ? "not_run" : call.run;
+        }
+    }));
+    CHECK(planted(fleet_rule::whole_download,
+                  [&](auto& all) { --any_call(all, call_kind::download).body; }));
+    CHECK(planted(fleet_rule::own_response,
+                  [&](auto& all) { any_call(all, call_kind::search).received += "x"; }));
+    CHECK(planted(fleet_rule::in_time, [&](auto& all) {
+        any_call(all, call_kind::search).ended += history_time(9000);
+    }));
+    CHECK(planted(fleet_rule::version_order, [](auto& all) { all.versions.back().version = 0; }));
+    CHECK(
+        planted(fleet_rule::version_in_force, [](auto& all) { all.accepts.back().version += 1; }));
+    CHECK(planted(fleet_rule::leaving_is_quiet,
+                  [](auto& all) { all.leaves.front().server = "finder-1"; }));
+}
+
 // Each case guards against broken invariants of section 1.2 of the design page under its faults:
 // duplicated or falsely refused actions, incomplete, foreign, late or absent responses, reverted
 // or late configuration, work for a leaving server, requests that a planned stop cuts.
