Bound the wait for the table and keep drains in force across writers

Cause: with a slow table service a keyed order was answered up to 1.3 s after its deadline: three calls for a claim and one to give it back were awaited. And a drained server got 4 of 100 searches, because the row of a later writer that does not know the drain's age arrived first. Ruled out: shorter time-outs of the table client, which would refuse orders under a slow but working table; a wall-clock time in the row. Change: claims run on store_executor and are given up after half of the remaining time, their attempt then never runs; settlements are written in the background, at most 100 ms before the response ends; a writer that grants something renews the drains in the row.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -186,7 +186,12 @@
 
 # show_drain: drains upstreams of service finder until the capacity floor refuses.
 show_drain() {
-  local number code=0 drained before after
+  local number code=0 drained before after tries
+  # The evaluator learns of the failing server by the report of its owner, once a second.
+  for ((tries = 0; tries < 50; tries++)); do
+    curl -s "http://$table/tables/ejections/rows/tetteh%2Ffinder" | grep -q '"ejected"' && break
+    sleep 0.1
+  done
   echo "== Draining upstreams of finder down to its floor of 14 slots"
   for number in 1 2 3; do
     ctl drain tetteh finder gac-1-a "finder-$number" || problem "finder-$number was not drained"
--- a/src/health/ejection_ledger.cpp
+++ b/src/health/ejection_ledger.cpp
@@ -40,6 +40,18 @@
     entry.counted = ejection_row::validity + ejection_row::grace;
 }
 
+// This writer does not know the age of another one's drain, and a daemon that receives this row
+// first would not honour it. A drain counts against the floor until it is released, so that a
+// renewal takes no capacity.
+void renew_drains(ejection_row& row, const std::string& write)
+{
+    for (ejection_entry& entry : row.entries) {
+        if (entry.kind == removal_kind::drained) {
+            renew_entry(entry, write);
+        }
+    }
+}
+
 } // namespace
 
 ejection_ledger::ejection_ledger(table_service& store, const clock& time, std::string writer)
@@ -60,6 +72,7 @@
                 return false;
             }
             set_entry(row, granted(*capacity.find(upstream), removal_kind::ejected, reason, write));
+            renew_drains(row, write);
             return true;
         });
 }
@@ -110,6 +123,7 @@
                 return failed(error_kind::floor_would_be_breached);
             }
             set_entry(row, granted(*capacity.find(upstream), removal_kind::drained, reason, write));
+            renew_drains(row, write);
             return true;
         });
 }
--- a/src/proxy/action_forwarder.cpp
+++ b/src/proxy/action_forwarder.cpp
@@ -2,14 +2,20 @@
 
 #include "action/request_digest.h"
 #include "peer/peer_limits.h"
+#include "proxy/bounded_claim.h"
 #include "proxy/recording_sink.h"
 
 #include <algorithm>
+#include <future>
 
 namespace galenaroad {
 
 namespace {
 
+// Long enough for a table service in another region (two round trips of 24 ms); a slower one does
+// not delay the response further.
+constexpr auto longest_record_wait = std::chrono::milliseconds(100);
+
 action_request request_of(const forward_order& order, const replayable_body& body)
 {
     request_digest digest(order.request.method, order.request.target);
@@ -32,8 +38,8 @@
 
 } // namespace
 
-action_forwarder::action_forwarder(forwarder& forward, services_source services)
-    : m_forward(forward), m_services(std::move(services))
+action_forwarder::action_forwarder(forwarder& forward, services_source services, const clock& time)
+    : m_forward(forward), m_services(std::move(services)), m_clock(time), m_executor(store_threads)
 {
 }
 
@@ -55,17 +61,29 @@
         return attempt_result::failed(error_kind::request_too_large,
                                       "The body of an action with a key exceeds 1 MiB");
     }
-    return run_action(*services, order, body, sink);
+    return run_action(services, order, body, sink);
+}
+
+action_decision action_forwarder::decide(const shared_services& services,
+                                         const forward_order& order, const replayable_body& body)
+{
+    // After half of its time, an action would have too little left to run.
+    const auto longest_wait = order.context.remaining(m_clock.steady_now()) / 2;
+    const auto claim =
+        std::make_shared<bounded_claim>(services, request_of(order, body), *order.route.declared);
+    return claim->decide(m_executor, longest_wait);
 }
 
-attempt_result action_forwarder::run_action(action_services& services, forward_order& order,
+attempt_result action_forwarder::run_action(const shared_services& services, forward_order& order,
                                             replayable_body& body, answer_sink& sink)
 {
-    auto& gate = services.gate();
-    const auto decision = gate.decide(request_of(order, body), *order.route.declared);
+    const bool needs_store = !order.request.idempotency_key.empty();
+    const auto decision =
+        needs_store ? decide(services, order, body)
+                    : services->gate().decide(request_of(order, body), *order.route.declared);
     switch (decision.step) {
     case action_step::run:
-        return dispatch(gate, decision.ticket, order, body, sink);
+        return dispatch(services, decision.ticket, order, body, sink);
     case action_step::replay:
         return replay(decision.response, sink);
     case action_step::pass_on:
@@ -79,35 +97,44 @@
     return attempt_result::failed(decision.error, "");
 }
 
-attempt_result action_forwarder::dispatch(action_gate& gate, const action_ticket& ticket,
-                                          forward_order& order, replayable_body& body,
-                                          answer_sink& sink)
+attempt_result action_forwarder::dispatch(const shared_services& services,
+                                          const action_ticket& ticket, forward_order& order,
+                                          replayable_body& body, answer_sink& sink)
 {
     order.attempt_id = ticket.attempt_id;
     recording_sink recorder(sink);
     auto outcome = m_forward.forward(order, body, recorder);
     if (outcome.ok()) {
-        // A caller that asks again at once finds the response of an issued key. The table may be
-        // slow, so that with a caller's key the response does not wait for it.
-        if (ticket.way == action_way::issued_key) {
-            gate.completed(ticket, recorder.copy());
-            recorder.flush();
-        }
-        else {
-            recorder.flush();
-            gate.completed(ticket, recorder.copy());
-        }
+        // A caller that asks again at once finds the response of an issued key.
+        const auto recorded = std::make_shared<std::promise<void>>();
+        settle(ticket, [services, ticket, recorded, response = recorder.copy()] {
+            services->gate().completed(ticket, response);
+            recorded->set_value();
+        });
+        recorded->get_future().wait_for(longest_record_wait);
+        recorder.flush();
     }
     else if (outcome.run == run_state::not_run) {
-        gate.not_run(ticket, proof_of(outcome));
+        settle(ticket, [services, ticket, proof = proof_of(outcome)] {
+            services->gate().not_run(ticket, proof);
+        });
     }
     else {
-        gate.outcome_unknown(ticket);
+        settle(ticket, [services, ticket] { services->gate().outcome_unknown(ticket); });
     }
     outcome.sink_gone = outcome.sink_gone || recorder.is_receiver_gone();
     return outcome;
 }
 
+// With a caller's key the settlement is written to the table, which may be slow: the response does
+// not wait for it. The claim stays in force until then, so nothing runs twice.
+void action_forwarder::settle(const action_ticket& ticket, std::function<void()> settlement)
+{
+    if (ticket.way != action_way::caller_key || !m_executor.post(settlement)) {
+        settlement();
+    }
+}
+
 attempt_result action_forwarder::replay(const recorded_response& response, answer_sink& sink)
 {
     answer_head head;
--- a/src/tests/ejection_ledger_test.cpp
+++ b/src/tests/ejection_ledger_test.cpp
@@ -1,6 +1,8 @@
 #include "health/ejection_ledger.h"
 
 #include "floor_history.h"
+#include "health/ejection_view.h"
+#include "platform/memory_table_service.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -129,3 +131,22 @@
     CHECK(ledger.propose(four_upstreams(6), {"b", "orders"}, "slow").error() ==
           make_error_code(error_kind::store_unavailable));
 }
+
+TEST_CASE("ejection_ledger: another writer's row keeps a drain in force", "[health]")
+{
+    // Guards against a drained upstream that receives work again, at daemons that get the row of a
+    // later writer before the row of the drain.
+    memory_table_service table;
+    manual_clock clock;
+    ejection_ledger operator_side(table, clock, "operator");
+    ejection_ledger evaluator(table, clock, "evaluator");
+    const auto capacity = four_upstreams(6);
+    REQUIRE(operator_side.drain(capacity, {"a", "orders"}, "test"));
+    clock.advance(1s);
+    const auto later = evaluator.propose(capacity, {"b", "orders"}, "test");
+    REQUIRE(later);
+    ejection_view view;
+    view.receive(*later, clock.steady_now());
+    CHECK(view.standings(capacity, clock.steady_now()).at({"a", "orders"}) ==
+          upstream_standing::excluded);
+}
