--- a/src/daemon/ejection_worker.cpp
+++ b/src/daemon/ejection_worker.cpp
@@ -22,7 +22,7 @@
 
 std::error_code ejection_worker::carry_out(const ejection_order& order)
 {
-    const auto row = apply(order);
+    const auto row = galenaroad::carry_out(order, m_ledger);
     if (row) {
         if (order.kind == ejection_order_kind::propose) {
             structured_log::warning("Upstream is ejected",
@@ -39,19 +39,4 @@
     return row.error();
 }
 
-result<aged_row> ejection_worker::apply(const ejection_order& order)
-{
-    switch (order.kind) {
-    case ejection_order_kind::propose:
-        return m_ledger.propose(order.capacity, order.upstream, order.reason);
-    case ejection_order_kind::renew:
-        return m_ledger.renew(order.capacity, order.upstreams);
-    case ejection_order_kind::drain:
-        return m_ledger.drain(order.capacity, order.upstream, order.reason);
-    case ejection_order_kind::release:
-        break;
-    }
-    return m_ledger.release(order.capacity.service, order.upstream);
-}
-
 } // namespace galenaroad
--- a/src/daemon/ejection_worker.h
+++ b/src/daemon/ejection_worker.h
@@ -28,8 +28,6 @@
     std::error_code carry_out(const ejection_order& order);
 
 private:
-    result<aged_row> apply(const ejection_order& order);
-
     ejection_ledger m_ledger;
     row_hook m_written;
 };
--- a/src/experiment/detection_daemon.cpp
+++ b/src/experiment/detection_daemon.cpp
@@ -119,60 +119,20 @@
                                         std::vector<aged_row>& written)
 {
     const auto index = static_cast<std::size_t>(service);
-    const auto wishes = m_health[index].ejection_wishes(m_clock.steady_now());
-    propose(service, members, wishes, written);
-    keep_or_release(service, members, wishes, written);
-}
-
-void detection_daemon::propose(int service, const service_capacity& members,
-                               const std::vector<ejection_wish>& wishes,
-                               std::vector<aged_row>& written)
-{
-    evaluation& mine = m_evaluations[static_cast<std::size_t>(service)];
     const steady_time now = m_clock.steady_now();
-    for (const ejection_wish& wish : wishes) {
-        const bool is_ejected = std::find(mine.ejected.begin(), mine.ejected.end(),
-                                          wish.upstream) != mine.ejected.end();
-        const auto last = mine.proposed.find(wish.upstream);
-        if (is_ejected || (last != mine.proposed.end() && now - last->second < proposal_interval)) {
+    const auto wishes = m_health[index].ejection_wishes(now);
+    service_evaluation& mine = m_evaluations[index];
+    for (const ejection_order& order : mine.decide(members, wishes, false, now)) {
+        const auto row = carry_out(order, m_ledger);
+        if (!row) {
             continue;
         }
-        mine.proposed[wish.upstream] = now;
-        if (const auto row = m_ledger.propose(members, wish.upstream, wish.reason)) {
-            mine.ejected.push_back(wish.upstream);
+        if (order.kind == ejection_order_kind::propose) {
+            mine.granted(order.upstream, now);
             m_decisions.push_back("i" + std::to_string(m_index) + " ejected " +
-                                  wish.upstream.instance + '/' + wish.upstream.name + ": " +
-                                  wish.reason);
-            mine.renewed = now;
-            m_view.receive(*row, now);
-            written.push_back(*row);
-        }
-    }
-}
-
-void detection_daemon::keep_or_release(int service, const service_capacity& members,
-                                       const std::vector<ejection_wish>& wishes,
-                                       std::vector<aged_row>& written)
-{
-    evaluation& mine = m_evaluations[static_cast<std::size_t>(service)];
-    const steady_time now = m_clock.steady_now();
-    std::vector<upstream_id> kept;
-    for (const upstream_id& id : mine.ejected) {
-        if (is_wished(wishes, id)) {
-            kept.push_back(id);
-            continue;
+                                  order.upstream.instance + '/' + order.upstream.name + ": " +
+                                  order.reason);
         }
-        if (const auto row = m_ledger.release(members.service, id)) {
-            m_view.receive(*row, now);
-            written.push_back(*row);
-        }
-    }
-    mine.ejected = kept;
-    if (kept.empty() || now - mine.renewed < renewal_interval) {
-        return;
-    }
-    mine.renewed = now;
-    if (const auto row = m_ledger.renew(members, kept)) {
         m_view.receive(*row, now);
         written.push_back(*row);
     }
--- a/src/experiment/detection_daemon.h
+++ b/src/experiment/detection_daemon.h
@@ -4,6 +4,7 @@
 #include "health/ejection_ledger.h"
 #include "health/ejection_view.h"
 #include "health/link_monitor.h"
+#include "health/service_evaluation.h"
 #include "health/service_health.h"
 
 #include <deque>
@@ -72,25 +73,13 @@
 private:
     static constexpr int consecutive_limit = 5;
     static constexpr std::chrono::seconds consecutive_hold{30};
-    static constexpr std::chrono::seconds renewal_interval{10};
-    static constexpr std::chrono::seconds proposal_interval{1};
 
     struct error_run {
         int failures = 0;
         steady_time excluded_until{};
     };
-    struct evaluation {
-        std::map<upstream_id, steady_time> proposed;
-        std::vector<upstream_id> ejected; ///< Ejections that this daemon renews.
-        steady_time renewed{};
-    };
-
     void evaluate_service(int service, const service_capacity& members,
                           std::vector<aged_row>& written);
-    void propose(int service, const service_capacity& members,
-                 const std::vector<ejection_wish>& wishes, std::vector<aged_row>& written);
-    void keep_or_release(int service, const service_capacity& members,
-                         const std::vector<ejection_wish>& wishes, std::vector<aged_row>& written);
     void update_preferences(int service, const service_capacity& members);
     double local_preference(int service, int instance) const;
 
@@ -98,7 +87,7 @@
     detection_parameters m_parameters;
     const clock& m_clock;
     std::vector<service_health> m_health; ///< By service.
-    std::vector<evaluation> m_evaluations;
+    std::vector<service_evaluation> m_evaluations;
     std::map<upstream_id, error_run> m_errors;
     std::map<upstream_id, double> m_preferences;
     link_monitor m_links;
--- /dev/null
+++ b/src/health/ejection_order.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/result.h"
+#include "health/ejection_ledger.h"
+#include "health/ejection_row.h"
+#include "model/upstream.h"
+
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// Kind of change that an evaluator asks the table service for.
+enum class ejection_order_kind { propose, renew, release, drain };
+
+/// A change of a service's row. Carried out by an ejection_ledger off the control thread.
+struct ejection_order {
+    ejection_order_kind kind = ejection_order_kind::propose;
+    service_capacity capacity;
+    upstream_id upstream;               ///< For propose and release.
+    std::string reason;                 ///< For propose.
+    std::vector<upstream_id> upstreams; ///< For renew.
+};
+
+/// Carries out an order. Blocks on the table service.
+/// @param order the order.
+/// @param ledger writes the row.
+/// @return the row in force, or why it was not changed.
+result<aged_row> carry_out(const ejection_order& order, ejection_ledger& ledger);
+
+} // namespace galenaroad
--- a/src/health/service_evaluation.h
+++ b/src/health/service_evaluation.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "health/ejection_row.h"
+#include "health/ejection_order.h"
 #include "health/service_health.h"
 
 #include <map>
@@ -10,18 +10,6 @@
 
 namespace galenaroad {
 
-/// Kind of change that an evaluator asks the table service for.
-enum class ejection_order_kind { propose, renew, release, drain };
-
-/// A change of a service's row. Carried out by an ejection_ledger off the control thread.
-struct ejection_order {
-    ejection_order_kind kind = ejection_order_kind::propose;
-    service_capacity capacity;
-    upstream_id upstream;               ///< For propose and release.
-    std::string reason;                 ///< For propose.
-    std::vector<upstream_id> upstreams; ///< For renew.
-};
-
 /// Decides which changes of a service's row the service's evaluator asks for.
 class service_evaluation {
 public:
--- a/src/proxy/action_forwarder.cpp
+++ b/src/proxy/action_forwarder.cpp
@@ -128,7 +128,7 @@
 
 // With a caller's key the settlement is written to the table, which may be slow: the response does
 // not wait for it. The claim stays in force until then, so nothing runs twice.
-void action_forwarder::settle(const action_ticket& ticket, std::function<void()> settlement)
+void action_forwarder::settle(const action_ticket& ticket, const std::function<void()>& settlement)
 {
     if (ticket.way != action_way::caller_key || !m_executor.post(settlement)) {
         settlement();
--- a/src/proxy/action_forwarder.h
+++ b/src/proxy/action_forwarder.h
@@ -47,7 +47,7 @@
                            const replayable_body& body);
     attempt_result dispatch(const shared_services& services, const action_ticket& ticket,
                             forward_order& order, replayable_body& body, answer_sink& sink);
-    void settle(const action_ticket& ticket, std::function<void()> settlement);
+    void settle(const action_ticket& ticket, const std::function<void()>& settlement);
     static attempt_result replay(const recorded_response& response, answer_sink& sink);
 
     forwarder& m_forward;
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -99,7 +99,7 @@
     socket().setReceiveTimeout(to_timespan(wait));
 }
 
-int backend_connection::get_byte()
+int backend_connection::next_byte()
 {
     return get();
 }
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -57,7 +57,7 @@
     const std::string& address() const { return m_address; }
 
     void limit_wait(std::chrono::milliseconds wait) override;
-    int get_byte() override;
+    int next_byte() override;
     int read_bytes(char* buffer, int capacity) override;
 
     bool reused = false;    ///< The connection has carried a complete exchange before.
--- a/src/proxy/byte_input.h
+++ b/src/proxy/byte_input.h
@@ -22,7 +22,7 @@
     virtual void limit_wait(std::chrono::milliseconds wait) = 0;
 
     /// @return the next byte, or a negative number at the end.
-    virtual int get_byte() = 0;
+    virtual int next_byte() = 0;
 
     /// Reads at least one byte.
     /// @param buffer receives the bytes.
--- a/src/proxy/http_body_source.cpp
+++ b/src/proxy/http_body_source.cpp
@@ -83,10 +83,10 @@
 body_state http_body_source::start_chunk()
 {
     std::string line;
-    int byte = m_input.get_byte();
+    int byte = m_input.next_byte();
     while (byte >= 0 && byte != '\n' && line.size() < max_size_line) {
         line.push_back(static_cast<char>(byte));
-        byte = m_input.get_byte();
+        byte = m_input.next_byte();
     }
     if (byte < 0) {
         return body_state::early_end;
@@ -114,8 +114,8 @@
 
 body_state http_body_source::expect_line_end()
 {
-    const int first = m_input.get_byte();
-    const int second = first < 0 ? first : m_input.get_byte();
+    const int first = m_input.next_byte();
+    const int second = first < 0 ? first : m_input.next_byte();
     if (second < 0) {
         return body_state::early_end;
     }
@@ -128,7 +128,7 @@
     std::size_t total = 0;
     std::size_t line_length = 0;
     while (total++ < max_trailer_bytes) {
-        const int byte = m_input.get_byte();
+        const int byte = m_input.next_byte();
         if (byte < 0) {
             return body_state::early_end;
         }
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -11,7 +11,7 @@
 /// Names the protected members of HTTPSession that POCO's own body streams use as friends.
 class session_members : public Poco::Net::HTTPServerSession {
 public:
-    static constexpr auto get_byte = &session_members::get;
+    static constexpr auto next_byte = &session_members::get;
     static constexpr auto read_bytes = &session_members::read;
 };
 
@@ -35,9 +35,9 @@
     m_session.socket().setReceiveTimeout(to_timespan(wait));
 }
 
-int server_connection::get_byte()
+int server_connection::next_byte()
 {
-    return (m_session.*session_members::get_byte)();
+    return (m_session.*session_members::next_byte)();
 }
 
 int server_connection::read_bytes(char* buffer, int capacity)
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -21,7 +21,7 @@
     explicit server_connection(Poco::Net::HTTPServerRequest& request);
 
     void limit_wait(std::chrono::milliseconds wait) override;
-    int get_byte() override;
+    int next_byte() override;
     int read_bytes(char* buffer, int capacity) override;
 
     /// Discards what the caller still sends, for a short time, after the whole response was sent.
--- a/src/tests/http_body_source_test.cpp
+++ b/src/tests/http_body_source_test.cpp
@@ -16,7 +16,7 @@
 public:
     explicit text_input(std::string text) : m_text(std::move(text)) {}
     void limit_wait(std::chrono::milliseconds /*wait*/) override {}
-    int get_byte() override
+    int next_byte() override
     {
         return m_at < m_text.size() ? static_cast<unsigned char>(m_text[m_at++]) : -1;
     }
