--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -211,7 +211,7 @@
                 admins = [entry["admin"] for entry in fleet.addresses.values()]
 
                 def known(admin):
-                    return len(json.loads(get(admin, "/v1/fleet")[1])["instances"])
+                    return len(json.loads(get(admin, "/v1/fleet")[1])["members"])
 
                 wait_for(lambda: all(known(admin) == count for admin in admins), 60)
                 converged = time.monotonic() - start
