--- a/src/daemon/control_shell.h
+++ b/src/daemon/control_shell.h
@@ -58,7 +58,7 @@
     /// @param name its name.
     void withdraw(const std::string& name);
 
-    /// Marks this daemon as leaving and sends the news to its peers.
+    /// Marks this daemon as leaving and notifies its peers.
     void leave();
 
     /// Adds the hooks for the calls of membership and configuration.
--- a/src/daemon/fleet_health.cpp
+++ b/src/daemon/fleet_health.cpp
@@ -104,8 +104,8 @@
     for (auto& [service, tracked] : m_services) {
         tracked.health.evaluate(now);
         if (tracked.is_evaluator) {
-            const auto wishes = tracked.health.ejection_wishes(now);
-            for (auto& order : tracked.evaluation.decide(tracked.capacity, wishes,
+            const auto candidates = tracked.health.ejection_candidates(now);
+            for (auto& order : tracked.evaluation.decide(tracked.capacity, candidates,
                                                          m_view.has_drains(service), now)) {
                 orders.push_back(std::move(order));
             }
--- a/src/experiment/detection_daemon.cpp
+++ b/src/experiment/detection_daemon.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-bool is_wished(const std::vector<ejection_wish>& wishes, const upstream_id& id)
+bool is_candidate(const std::vector<ejection_candidate>& candidates, const upstream_id& id)
 {
-    return std::any_of(wishes.begin(), wishes.end(),
-                       [&](const ejection_wish& wish) { return wish.upstream == id; });
+    return std::any_of(
+        candidates.begin(), candidates.end(),
+        [&](const ejection_candidate& candidate) { return candidate.upstream == id; });
 }
 
 } // namespace
@@ -120,9 +121,9 @@
 {
     const auto index = static_cast<std::size_t>(service);
     const steady_time now = m_clock.steady_now();
-    const auto wishes = m_health[index].ejection_wishes(now);
+    const auto candidates = m_health[index].ejection_candidates(now);
     service_evaluation& mine = m_evaluations[index];
-    for (const ejection_order& order : mine.decide(members, wishes, false, now)) {
+    for (const ejection_order& order : mine.decide(members, candidates, false, now)) {
         const auto row = carry_out(order, m_ledger);
         if (!row) {
             continue;
@@ -177,7 +178,7 @@
         return run != m_errors.end() && now < run->second.excluded_until ? -1 : 1;
     }
     if (m_parameters.method == ejection_method::independent) {
-        return is_wished(health.ejection_wishes(now), id) ? -1 : 1;
+        return is_candidate(health.ejection_candidates(now), id) ? -1 : 1;
     }
     const bool is_cut = m_links.is_marked(id.instance, now);
     return is_cut ? outlier_detector::sick_preference : health.preference(id, now);
@@ -191,11 +192,11 @@
 
 std::vector<bool> detection_daemon::held(int service) const
 {
-    const auto wishes =
-        m_health[static_cast<std::size_t>(service)].ejection_wishes(m_clock.steady_now());
+    const auto candidates =
+        m_health[static_cast<std::size_t>(service)].ejection_candidates(m_clock.steady_now());
     std::vector<bool> held(detection_parameters::instances);
-    for (const ejection_wish& wish : wishes) {
-        held[std::stoul(wish.upstream.instance.substr(1))] = true;
+    for (const ejection_candidate& candidate : candidates) {
+        held[std::stoul(candidate.upstream.instance.substr(1))] = true;
     }
     return held;
 }
--- a/src/experiment/detection_model_control.cpp
+++ b/src/experiment/detection_model_control.cpp
@@ -15,7 +15,7 @@
 constexpr milliseconds control_interval{100};
 constexpr milliseconds announcement_expiry{6000};
 constexpr milliseconds shortest_gossip{20};
-// A contact of all members takes at most 1 s.
+// All members are reached within 1 s.
 constexpr milliseconds longest_gossip{1000};
 // Longest wait in the owner's queue: an entry's open attempt may be that old without any service.
 constexpr milliseconds queue_wait{50};
--- a/src/health/class_level.h
+++ b/src/health/class_level.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "health/evidence_test.h"
+#include "health/sequential_ratio.h"
 #include "health/upstream_window.h"
 
 #include <cstddef>
--- a/src/health/outlier_detector.cpp
+++ b/src/health/outlier_detector.cpp
@@ -209,13 +209,13 @@
     if (!usual) {
         return verdict;
     }
-    const evidence_test first(m_settings, *usual);
+    const sequential_ratio first(m_settings, *usual);
     const test_evidence failures =
         confirm(first.failures(samples), group, position, received,
-                [&](const evidence_test& test) { return test.failures(samples); });
+                [&](const sequential_ratio& test) { return test.failures(samples); });
     const test_evidence latencies =
         confirm(first.latencies(samples, open, now), group, position, received,
-                [&](const evidence_test& test) { return test.latencies(samples, open, now); });
+                [&](const sequential_ratio& test) { return test.latencies(samples, open, now); });
     verdict.failure_evidence = failures.value;
     verdict.latency_evidence = latencies.value;
     verdict.samples = failures.value > latencies.value ? failures.samples : latencies.samples;
@@ -231,7 +231,7 @@
 test_evidence
 outlier_detector::confirm(test_evidence found, const peer_group& group, std::size_t position,
                           const received_reference& received,
-                          const std::function<test_evidence(const evidence_test&)>& repeat) const
+                          const std::function<test_evidence(const sequential_ratio&)>& repeat) const
 {
     if (found.value < m_settings.evidence_threshold * suspect_share) {
         return found;
@@ -244,7 +244,7 @@
         found.value = std::min(found.value, suspect_limit());
         return found;
     }
-    const test_evidence confirmed = repeat(evidence_test(m_settings, *same_period));
+    const test_evidence confirmed = repeat(sequential_ratio(m_settings, *same_period));
     return confirmed.value < found.value ? confirmed : found;
 }
 
--- a/src/health/outlier_detector.h
+++ b/src/health/outlier_detector.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "health/detection_settings.h"
-#include "health/evidence_test.h"
+#include "health/sequential_ratio.h"
 #include "health/upstream_window.h"
 #include "model/upstream.h"
 
@@ -113,9 +113,10 @@
     health_verdict judge(const candidate& known, const peer_group& group, std::size_t position,
                          request_class work, steady_time now) const;
     /// Repeats a test against the peers over the period of its evidence.
-    test_evidence confirm(test_evidence found, const peer_group& group, std::size_t position,
-                          const received_reference& received,
-                          const std::function<test_evidence(const evidence_test&)>& repeat) const;
+    test_evidence
+    confirm(test_evidence found, const peer_group& group, std::size_t position,
+            const received_reference& received,
+            const std::function<test_evidence(const sequential_ratio&)>& repeat) const;
     double suspect_limit() const;
     void limit_to_suspect(health_verdict& verdict) const;
     void grade_all(std::map<upstream_id, health_verdict>& verdicts) const;
--- a/src/health/peer_group.h
+++ b/src/health/peer_group.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "health/class_level.h"
-#include "health/evidence_test.h"
+#include "health/sequential_ratio.h"
 #include "health/upstream_window.h"
 
 #include <optional>
--- a/src/health/evidence_test.cpp
+++ b/src/health/sequential_ratio.cpp
@@ -1,4 +1,4 @@
-#include "health/evidence_test.h"
+#include "health/sequential_ratio.h"
 
 #include <algorithm>
 #include <cmath>
@@ -46,12 +46,12 @@
 
 } // namespace
 
-evidence_test::evidence_test(const detection_settings& settings, const peer_reference& peers)
+sequential_ratio::sequential_ratio(const detection_settings& settings, const peer_reference& peers)
     : m_settings(settings), m_peers(peers), m_shift(std::log(settings.slowdown))
 {
 }
 
-test_evidence evidence_test::failures(const std::deque<attempt_sample>& samples) const
+test_evidence sequential_ratio::failures(const std::deque<attempt_sample>& samples) const
 {
     const double base = std::max(m_peers.failure_ratio, least_failure_ratio);
     if (base > hopeless_failure_ratio) {
@@ -67,8 +67,9 @@
     return sum.evidence();
 }
 
-test_evidence evidence_test::latencies(const std::deque<attempt_sample>& samples,
-                                       const std::vector<steady_time>& open, steady_time now) const
+test_evidence sequential_ratio::latencies(const std::deque<attempt_sample>& samples,
+                                          const std::vector<steady_time>& open,
+                                          steady_time now) const
 {
     running_sum sum;
     auto next_open = open.begin();
@@ -90,7 +91,7 @@
     return sum.evidence();
 }
 
-double evidence_test::completed_ratio(double log_time) const
+double sequential_ratio::completed_ratio(double log_time) const
 {
     const double excess = log_time - m_peers.log_time;
     const double ratio =
@@ -99,7 +100,7 @@
     return std::clamp(ratio, least_contribution, std::min(bound, greatest_completed));
 }
 
-double evidence_test::open_ratio(double log_age) const
+double sequential_ratio::open_ratio(double log_age) const
 {
     const double excess = log_age - m_peers.log_time;
     const double ratio =
--- a/src/health/evidence_test.h
+++ b/src/health/sequential_ratio.h
@@ -28,11 +28,11 @@
 /// Both are cumulative sums that restart at zero, so that a change is found at any time and past
 /// good behaviour does not hide it. Attempts count in the order in which they started: a healthy
 /// upstream with one long attempt has later attempts that speak for it, a stalled one has none.
-class evidence_test {
+class sequential_ratio {
 public:
     /// @param settings the policy's parameters.
     /// @param peers the reference to test against.
-    evidence_test(const detection_settings& settings, const peer_reference& peers);
+    sequential_ratio(const detection_settings& settings, const peer_reference& peers);
 
     /// Tests for a failure ratio above the peers'.
     /// @param samples the attempts in the order in which they started.
--- a/src/health/service_evaluation.cpp
+++ b/src/health/service_evaluation.cpp
@@ -13,18 +13,19 @@
 
 } // namespace
 
-std::vector<ejection_order> service_evaluation::decide(const service_capacity& capacity,
-                                                       const std::vector<ejection_wish>& wishes,
-                                                       bool has_drains, steady_time now)
+std::vector<ejection_order>
+service_evaluation::decide(const service_capacity& capacity,
+                           const std::vector<ejection_candidate>& candidates, bool has_drains,
+                           steady_time now)
 {
     std::vector<ejection_order> orders;
-    for (const auto& wish : wishes) {
-        if (!contains(m_ejected, wish.upstream) && may_propose(wish.upstream, now)) {
+    for (const auto& candidate : candidates) {
+        if (!contains(m_ejected, candidate.upstream) && may_propose(candidate.upstream, now)) {
             orders.push_back(
-                {ejection_order_kind::propose, capacity, wish.upstream, wish.reason, {}});
+                {ejection_order_kind::propose, capacity, candidate.upstream, candidate.reason, {}});
         }
     }
-    release_recovered(capacity, wishes, orders);
+    release_recovered(capacity, candidates, orders);
     if ((has_drains || !m_ejected.empty()) && now - m_renewed >= renewal_interval) {
         m_renewed = now;
         orders.push_back({ejection_order_kind::renew, capacity, {}, {}, m_ejected});
@@ -51,14 +52,15 @@
 }
 
 void service_evaluation::release_recovered(const service_capacity& capacity,
-                                           const std::vector<ejection_wish>& wishes,
+                                           const std::vector<ejection_candidate>& candidates,
                                            std::vector<ejection_order>& orders)
 {
     std::vector<upstream_id> kept;
     for (const auto& id : m_ejected) {
-        const bool is_wished = std::any_of(wishes.begin(), wishes.end(),
-                                           [&](const auto& wish) { return wish.upstream == id; });
-        if (is_wished) {
+        const bool is_candidate =
+            std::any_of(candidates.begin(), candidates.end(),
+                        [&](const auto& candidate) { return candidate.upstream == id; });
+        if (is_candidate) {
             kept.push_back(id);
             continue;
         }
--- a/src/health/service_evaluation.h
+++ b/src/health/service_evaluation.h
@@ -19,13 +19,13 @@
 
     /// Compares what should be ejected with what is.
     /// @param capacity the live members and the floor.
-    /// @param wishes the upstreams that are held.
+    /// @param candidates the upstreams that are held.
     /// @param has_drains whether the row holds drains, which are renewed as well.
     /// @param now the current time.
     /// @return the changes to carry out.
     std::vector<ejection_order> decide(const service_capacity& capacity,
-                                       const std::vector<ejection_wish>& wishes, bool has_drains,
-                                       steady_time now);
+                                       const std::vector<ejection_candidate>& candidates,
+                                       bool has_drains, steady_time now);
 
     /// Notes that an ejection was granted.
     /// @param upstream the upstream.
@@ -38,7 +38,7 @@
 private:
     bool may_propose(const upstream_id& upstream, steady_time now);
     void release_recovered(const service_capacity& capacity,
-                           const std::vector<ejection_wish>& wishes,
+                           const std::vector<ejection_candidate>& candidates,
                            std::vector<ejection_order>& orders);
 
     std::map<upstream_id, steady_time> m_proposed;
--- a/src/health/service_health.cpp
+++ b/src/health/service_health.cpp
@@ -121,15 +121,15 @@
     return found == m_standings.end() ? nullptr : &found->second.verdict;
 }
 
-std::vector<ejection_wish> service_health::ejection_wishes(steady_time now) const
+std::vector<ejection_candidate> service_health::ejection_candidates(steady_time now) const
 {
-    std::vector<ejection_wish> wishes;
+    std::vector<ejection_candidate> candidates;
     for (const auto& [id, known] : m_standings) {
         if (known.hold.phase(now) == hold_phase::held) {
-            wishes.push_back({id, known.reason});
+            candidates.push_back({id, known.reason});
         }
     }
-    return wishes;
+    return candidates;
 }
 
 } // namespace galenaroad
--- a/src/health/service_health.h
+++ b/src/health/service_health.h
@@ -17,7 +17,7 @@
 };
 
 /// An upstream that should be ejected, with the reason.
-struct ejection_wish {
+struct ejection_candidate {
     upstream_id upstream;
     std::string reason;
 };
@@ -98,7 +98,7 @@
 
     /// @param now the current time.
     /// @return the upstreams that are held, for the service's evaluator.
-    std::vector<ejection_wish> ejection_wishes(steady_time now) const;
+    std::vector<ejection_candidate> ejection_candidates(steady_time now) const;
 
 private:
     struct standing {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -33,9 +33,9 @@
     instance_state state() const;
 };
 
-/// All members other than the own daemon, with the rules by which news about them is merged:
-/// a higher (incarnation, version) wins, and within a version worse news wins. Entries keep their
-/// slot while they exist.
+/// All members other than the own daemon, with the rules by which updates of them are merged:
+/// a higher (incarnation, version) wins, and within a version the worse state wins. Entries keep
+/// their slot while they exist.
 class member_table {
 public:
     using slot = std::uint32_t;
--- a/src/membership/membership_rounds.cpp
+++ b/src/membership/membership_rounds.cpp
@@ -64,7 +64,7 @@
     for (const auto at : m_members.expire(now, m_settings.suspicion, m_settings.forget_dead)) {
         const auto& entry = m_members[at];
         m_view_changed = true;
-        // All daemons reach this point by themselves; only the first to suspect repeats the news.
+        // All daemons reach this point by themselves; only the first to suspect it sends an update.
         if (m_own_suspicions.erase(entry.record->name) > 0) {
             m_queue.push(state_change{entry.record->name, entry.record->incarnation, entry.version,
                                       entry.record->content_version, instance_state::dead});
--- a/src/membership/membership_settings.h
+++ b/src/membership/membership_settings.h
@@ -24,7 +24,7 @@
     int indirect_pings = 3;
     std::chrono::milliseconds suspicion{3000};
     std::chrono::milliseconds gossip_interval{
-        200};                                     ///< Between update messages while news is fresh.
+        200}; ///< Between update messages while updates are new.
     std::chrono::milliseconds gossip_spacing{50}; ///< Least time between update messages.
     int gossip_fanout = 3;
     double local_share = 0.75; ///< Share of update messages that stay in the sender's region.
