--- a/src/telemetry/decision_log.cpp
+++ b/src/telemetry/decision_log.cpp
@@ -37,13 +37,13 @@
         ++m_dropped;
         return;
     }
-    push({log_level::info, decision, request_id, {}, std::move(fields)});
+    push({log_level::info, decision, request_id, {}, std::move(fields), m_clock.system_now()});
 }
 
 void decision_log::note_state(const char* event, log_fields fields)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    push({log_level::warning, event, {}, {}, std::move(fields)});
+    push({log_level::warning, event, {}, {}, std::move(fields), m_clock.system_now()});
 }
 
 std::uint64_t decision_log::dropped() const
--- a/src/telemetry/structured_log.cpp
+++ b/src/telemetry/structured_log.cpp
@@ -63,7 +63,8 @@
     if (entry.level < identity().least) {
         return;
     }
-    const auto line = format(entry, std::chrono::system_clock::now());
+    const bool has_time = entry.at != system_time();
+    const auto line = format(entry, has_time ? entry.at : std::chrono::system_clock::now());
     switch (entry.level) {
     case log_level::debug:
     case log_level::info:
--- a/src/telemetry/structured_log.h
+++ b/src/telemetry/structured_log.h
@@ -19,6 +19,7 @@
     std::string request_id; ///< Empty outside requests.
     std::string trace_id;   ///< Empty outside requests.
     log_fields fields;
+    system_time at{}; ///< When it happened; the time of writing when not set.
 };
 
 /// Log of the process: one JSON object a line on standard output.
