Decide on the owners to ask in a module of its own

Change: owner_search keeps the stages, refusals and exclusions; tests for a full service, owners that cannot serve, and a single upstream in doubt.

--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -20,10 +20,6 @@
 constexpr auto owner_margin = 30ms;
 constexpr auto far_owner_margin = 70ms;
 constexpr auto answer_margin = 10ms;
-constexpr int max_refusals = 5;
-constexpr int max_busy_refusals = 2;
-constexpr int max_late_refusals = 2;
-constexpr condition_limits free_and_sound{0.4, 1.4};
 // Part of the remaining time that one attempt may take while another one can follow.
 constexpr double attempt_part = 0.5;
 // Responses up to this size are kept until they are complete, so that one that breaks off can be
@@ -35,11 +31,6 @@
 constexpr double default_answer_bytes = 5000;
 constexpr double default_download_bytes = 100'000;
 
-bool is_soft(owner_reason reason)
-{
-    return reason == owner_reason::in_doubt || reason == owner_reason::busy;
-}
-
 bool is_server_error(int status)
 {
     return status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
@@ -70,14 +61,14 @@
       m_client(std::move(client)),
       m_on_end(std::move(on_end)),
       m_plan(context.plan),
-      m_request_id(http_head::find(m_client->head().fields, context.names.request_id).value_or(""))
+      m_request_id(http_head::find(m_client->head().fields, context.names.request_id).value_or("")),
+      m_search(context.directory, context.ranking)
 {
 }
 
 void entry_exchange::start()
 {
     if (!m_plan) {
-        m_retry_after = 500ms;
         answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no_plan");
         return;
     }
@@ -113,6 +104,7 @@
     m_deadline = m_client->received_at() + allowed;
     m_goal = m_client->received_at() + std::min(allowed, m_route->latency_goal);
     m_service = m_context.splits.choose(*m_route);
+    m_search.begin(m_service, expected_answer_bytes());
     return true;
 }
 
@@ -123,10 +115,7 @@
         give_up();
         return;
     }
-    const auto* owner = choose_owner();
-    while (owner == nullptr && advance_stage()) {
-        owner = choose_owner();
-    }
+    const auto* const owner = m_search.next(m_context.now());
     if (owner == nullptr) {
         give_up();
         return;
@@ -134,39 +123,6 @@
     send_to(*owner);
 }
 
-const owner_record* entry_exchange::choose_owner()
-{
-    if (has_asked_enough()) {
-        return nullptr;
-    }
-    auto excluded = m_excluded;
-    excluded.insert(m_refused.begin(), m_refused.end());
-    const auto limits = m_stage == search_stage::choosing ? free_and_sound : condition_limits{};
-    return m_context.ranking.choose(m_context.directory, m_service, excluded,
-                                    expected_answer_bytes(), limits, m_context.now());
-}
-
-// Asking costs a message each; when several owners are full, the others most likely are as well.
-bool entry_exchange::has_asked_enough() const
-{
-    if (m_stage == search_stage::choosing) {
-        return m_stage_refusals >= max_refusals || m_busy_refusals >= max_busy_refusals;
-    }
-    return m_stage_refusals >= max_late_refusals;
-}
-
-bool entry_exchange::advance_stage()
-{
-    if (m_stage == search_stage::forced) {
-        return false;
-    }
-    m_stage = m_stage == search_stage::choosing ? search_stage::waiting : search_stage::forced;
-    m_stage_refusals = 0;
-    m_busy_refusals = 0;
-    m_refused.clear();
-    return true;
-}
-
 double entry_exchange::expected_answer_bytes() const
 {
     const auto known = m_context.answer_bytes.find(m_route->name);
@@ -193,7 +149,7 @@
     request.max_idle = is_idempotent(m_route->kind) ? max_idle_peer : max_idle_peer_at_most_once;
     made->call = m_context.peers.send(made->owner, std::move(request), hooks_for(made));
     // While the request waits at its owner, another owner would not serve it sooner.
-    if (!may_repeat() || m_stage != search_stage::choosing) {
+    if (!may_repeat() || m_search.stage() != search_stage::choosing) {
         return;
     }
     const auto limit =
@@ -243,21 +199,10 @@
     order.plan_version = m_plan->plan().version;
     order.goal_remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(m_goal - m_context.now());
-    order.tolerance = tolerance();
+    order.tolerance = m_search.tolerance(may_repeat());
     return order;
 }
 
-doubt_tolerance entry_exchange::tolerance() const
-{
-    if (m_stage == search_stage::waiting) {
-        return doubt_tolerance::waiting;
-    }
-    if (m_stage == search_stage::forced) {
-        return doubt_tolerance::forced;
-    }
-    return may_repeat() ? doubt_tolerance::trial : doubt_tolerance::careful;
-}
-
 void entry_exchange::on_head(const attempt_ptr& made, const http_response_head& head)
 {
     made->head = head;
@@ -366,23 +311,12 @@
 
 void entry_exchange::on_owner_refused()
 {
-    const auto& report = m_current->report;
-    ++m_refusals;
-    ++m_stage_refusals;
-    m_busy_refusals += report.reason == owner_reason::busy ? 1 : 0;
-    const auto told = report.retry_after;
-    m_retry_after = m_retry_after == 0ms ? told : std::min(m_retry_after, told);
-    if (report.reason == owner_reason::expired) {
+    m_search.note_refusal(m_current->owner, m_current->report);
+    if (m_current->report.reason == owner_reason::expired) {
         // It has waited as long as was useful; another owner would not serve it in time.
         give_up();
         return;
     }
-    if (is_soft(report.reason)) {
-        m_refused.insert(m_current->owner);
-    }
-    else {
-        m_excluded.insert(m_current->owner);
-    }
     try_next();
 }
 
@@ -414,7 +348,7 @@
     }
     m_context.loop.cancel(m_attempt_timer);
     if (!is_sent) {
-        m_excluded.insert(made->owner);
+        m_search.exclude(made->owner);
         try_next();
         return;
     }
@@ -426,7 +360,7 @@
 // The request was sent to an upstream and there is no success.
 void entry_exchange::on_attempt_failed()
 {
-    m_excluded.insert(m_current->owner);
+    m_search.exclude(m_current->owner);
     m_context.log.note("attempt_failed", m_request_id,
                        {{"owner", m_current->owner},
                         {"attempt", std::to_string(m_attempts)},
@@ -450,7 +384,7 @@
         "attempt_slow", m_request_id,
         {{"owner", m_current->owner}, {"remaining_ms", std::to_string(remaining().count())}});
     m_earlier = m_current;
-    m_excluded.insert(m_earlier->owner);
+    m_search.exclude(m_earlier->owner);
     ++m_attempts;
     m_execution = execution::perhaps;
     try_next();
@@ -559,7 +493,8 @@
         head.fields.push_back({m_context.names.request_id, m_request_id});
     }
     if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
-        const auto wait = std::max<std::chrono::milliseconds>(m_retry_after, least_retry_after);
+        const auto wait =
+            std::max<std::chrono::milliseconds>(m_search.retry_after(), least_retry_after);
         head.fields.push_back({"Retry-After", seconds_text(wait)});
     }
     m_client->respond(std::move(head), {});
@@ -583,10 +518,10 @@
          {"plan", std::to_string(m_plan ? m_plan->plan().version : 0)},
          {"owner", m_current ? m_current->owner : ""},
          {"attempts", std::to_string(m_attempts)},
-         {"refusals", std::to_string(m_refusals)},
+         {"refusals", std::to_string(m_search.refusals())},
          {"last_refusal",
           std::string(reason_name(m_current ? m_current->report.reason : owner_reason::none))},
-         {"stage", std::to_string(static_cast<int>(m_stage))},
+         {"stage", std::to_string(static_cast<int>(m_search.stage()))},
          {"known_owners", std::to_string(m_context.directory.ready_for(m_service).size())},
          {"elapsed_ms", std::to_string(elapsed_ms.count())}});
     end();
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "net/http_server.h"
+#include "relay/owner_search.h"
 #include "relay/relay_context.h"
 
 #include <memory>
-#include <set>
 
 namespace galenaroad {
 
-/// One request of a client: finds its route, sends it to owners one after another and delivers the
-/// response.
+/// One request of a client: finds its route, sends it to the owners that owner_search chooses and
+/// delivers the response.
 class entry_exchange : public std::enable_shared_from_this<entry_exchange> {
 public:
     /// @param context shared state; must outlive the exchange.
@@ -22,13 +22,6 @@
     void start();
 
 private:
-    /// How far the search for an upstream has come.
-    enum class search_stage {
-        choosing, ///< Asks for a sound upstream with a free slot.
-        waiting,  ///< Waits for a slot at a sound upstream.
-        forced,   ///< Takes an upstream in doubt.
-    };
-
     /// What is known of the execution of the request so far.
     enum class execution { not_run, perhaps };
 
@@ -52,10 +45,6 @@
 
     bool find_route();
     void try_next();
-    const owner_record* choose_owner();
-    bool advance_stage();
-    bool has_asked_enough() const;
-    doubt_tolerance tolerance() const;
     void send_to(const owner_record& owner);
     relay_order order_for(const owner_record& owner) const;
     client_hooks hooks_for(const attempt_ptr& made);
@@ -94,16 +83,10 @@
     steady_time m_goal;    ///< An answer that is complete by then is worth most.
     attempt_ptr m_current; ///< The latest attempt, also after its end; null before the first.
     attempt_ptr m_earlier; ///< A slow attempt that goes on beside the current one, or null.
-    std::set<std::string> m_excluded; ///< Owners that are not asked again.
-    std::set<std::string> m_refused;  ///< Owners that may accept it if it is settled for them.
+    owner_search m_search;
     kept_response m_kept;
     execution m_execution = execution::not_run;
-    std::chrono::milliseconds m_retry_after{0};
-    int m_attempts = 0;       ///< Upstreams to which the request was sent.
-    int m_refusals = 0;       ///< All refusals of owners.
-    int m_stage_refusals = 0; ///< Refusals in the current stage.
-    int m_busy_refusals = 0;  ///< Refusals for want of a slot in the current stage.
-    search_stage m_stage = search_stage::choosing;
+    int m_attempts = 0;                    ///< Upstreams to which the request was sent.
     bool m_is_forwarding = false;          ///< A response is being passed on while it arrives.
     bool m_is_waiting_for_earlier = false; ///< The current attempt has ended without success.
     bool m_ended = false;
--- /dev/null
+++ b/src/tests/owner_search_test.cpp
@@ -0,0 +1,81 @@
+#include "relay/owner_search.h"
+
+#include "base/manual_clock.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct fixture {
+    manual_clock time;
+    owner_directory directory;
+    owner_ranking ranking{{"self", "dc", "r"}, random_engine(20261204)};
+    owner_search search{directory, ranking};
+
+    explicit fixture(int owners)
+    {
+        time.advance(1h);
+        for (int index = 0; index < owners; ++index) {
+            owner_record made;
+            made.address = "o" + std::to_string(index);
+            made.data_centre = "dc";
+            made.region = "r";
+            made.revision = 1;
+            made.service = "s";
+            made.state = announced_state::ready;
+            directory.merge(made);
+        }
+        search.begin("s", 5000);
+    }
+
+    /// Lets every owner refuse for one reason until the search ends.
+    std::vector<doubt_tolerance> refuse_all(owner_reason reason)
+    {
+        std::vector<doubt_tolerance> asked;
+        for (const auto* owner = search.next(time.steady_now()); owner != nullptr;
+             owner = search.next(time.steady_now())) {
+            asked.push_back(search.tolerance(false));
+            owner_report report;
+            report.reason = reason;
+            report.retry_after = 300ms;
+            search.note_refusal(owner->address, report);
+        }
+        return asked;
+    }
+};
+
+} // namespace
+
+TEST_CASE("owner_search: a full service is asked a few times, then the request waits", "[relay]")
+{
+    // Guards against the messages of an overload, and against a refusal while a slot would have
+    // come free in time.
+    fixture at(12);
+    const auto asked = at.refuse_all(owner_reason::busy);
+    REQUIRE(asked.size() == 6);
+    CHECK(asked[1] == doubt_tolerance::careful);
+    CHECK(asked[2] == doubt_tolerance::waiting);
+    CHECK(asked[4] == doubt_tolerance::forced);
+    CHECK(at.search.refusals() == 6);
+    CHECK(at.search.retry_after() == 300ms);
+}
+
+TEST_CASE("owner_search: an owner that cannot serve is asked once", "[relay]")
+{
+    // Guards against a search that returns to owners whose upstream has left.
+    fixture at(3);
+    CHECK(at.refuse_all(owner_reason::draining).size() == 3);
+}
+
+TEST_CASE("owner_search: an upstream in doubt is taken when there is no other", "[relay]")
+{
+    // Guards against requests that are refused although the only upstream may well be sound.
+    fixture at(1);
+    const auto asked = at.refuse_all(owner_reason::in_doubt);
+    REQUIRE(asked.size() == 3);
+    CHECK(asked.back() == doubt_tolerance::forced);
+}
