--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -135,6 +135,12 @@
 
 http_server::~http_server()
 {
+    // Exchanges may outlive the server; they find their connection ended.
+    const auto connections = std::move(m_connections);
+    m_connections.clear();
+    for (const auto& each : connections) {
+        each->end(false);
+    }
     m_loop.cancel(m_sweep_timer);
     if (m_listening) {
         m_loop.forget(m_socket);
--- a/src/tests/http_server_test.cpp
+++ b/src/tests/http_server_test.cpp
@@ -218,6 +218,30 @@
     CHECK(is_gone);
 }
 
+TEST_CASE("http_server: a request that outlives its server is answered to nobody", "[net]")
+{
+    // Guards against the crash of the soak at seed 100: an upstream was restarted while a request
+    // was held, and the answer used the server that was gone.
+    const process_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    std::shared_ptr<server_exchange> held;
+    const auto address = free_address();
+    auto server = std::make_unique<http_server>(loop, server_limits(), [&](auto exchange) {
+        held = std::move(exchange);
+        loop.stop();
+    });
+    server->listen(address);
+    received got;
+    const auto call = client.send(address, get("/"), hooks_for(got, loop));
+    loop.run();
+    REQUIRE(held);
+    server.reset();
+    answer_ok(held);
+    loop.run();
+    CHECK(got.fault.has_value());
+}
+
 TEST_CASE("http_client: a late second response never answers the next request", "[net]")
 {
     // Guards against a response that reaches another request on a kept connection.
--- a/src/tests/soak/soak_process.cpp
+++ b/src/tests/soak/soak_process.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <fcntl.h>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -43,6 +44,8 @@
         const int log = open(m_log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
+        // No daemon outlives a soak that ends unexpectedly.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         close_range(STDERR_FILENO + 1, ~0U, 0);
         execv(m_program.c_str(), arguments.data());
         _exit(127);
