--- a/src/fleet/upstream_lifecycle.cpp
+++ b/src/fleet/upstream_lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "fleet/upstream_lifecycle.h"
 
+#include "base/unix_time.h"
+
 #include <algorithm>
 
 namespace galenaroad {
@@ -8,13 +10,6 @@
 
 constexpr std::size_t max_remembered_ends = 64;
 
-std::uint64_t unix_ms(system_time time)
-{
-    const auto since = time.time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
-
 } // namespace
 
 void upstream_lifecycle::restore(const owner_record& record)
--- /dev/null
+++ b/src/net/http_status.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <Poco/Net/HTTPResponse.h>
+
+namespace galenaroad {
+
+/// @param status a response's status.
+/// @return true when the server has failed (5xx).
+constexpr bool is_server_error(int status)
+{
+    return status >= Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+}
+
+/// @param status a response's status.
+/// @return true for a success (2xx).
+constexpr bool is_success(int status)
+{
+    return status >= Poco::Net::HTTPResponse::HTTP_OK &&
+           status < Poco::Net::HTTPResponse::HTTP_MULTIPLE_CHOICES;
+}
+
+/// @param status a response's status.
+/// @return true when clients take it as a promise that the request has not run and never will.
+constexpr bool promises_not_run(int status)
+{
+    using Poco::Net::HTTPResponse;
+    return status == HTTPResponse::HTTP_REQUEST_TIMEOUT ||
+           status == HTTPResponse::HTTP_MISDIRECTED_REQUEST ||
+           status == HTTPResponse::HTTP_TOO_MANY_REQUESTS ||
+           status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+}
+
+} // namespace galenaroad
--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -1,5 +1,7 @@
 #include "relay/entry_exchange.h"
 
+#include "net/http_status.h"
+
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
 #include <array>
@@ -31,20 +33,6 @@
 constexpr double default_answer_bytes = 5000;
 constexpr double default_download_bytes = 100'000;
 
-bool is_server_error(int status)
-{
-    return status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
-}
-
-// These statuses promise that the request has not run.
-bool promises_not_run(int status)
-{
-    constexpr std::array<int, 4> promises{
-        HTTPResponse::HTTP_REQUEST_TIMEOUT, HTTPResponse::HTTP_MISDIRECTED_REQUEST,
-        HTTPResponse::HTTP_TOO_MANY_REQUESTS, HTTPResponse::HTTP_SERVICE_UNAVAILABLE};
-    return std::find(promises.begin(), promises.end(), status) != promises.end();
-}
-
 std::string seconds_text(std::chrono::milliseconds time)
 {
     std::array<char, 32> text{};
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -1,5 +1,7 @@
 #include "relay/owner_exchange.h"
 
+#include "net/http_status.h"
+
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
 
@@ -29,16 +31,6 @@
     return static_cast<int>(context.directory.ready_for(service).size());
 }
 
-bool is_server_error(int status)
-{
-    return status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
-}
-
-bool is_success(int status)
-{
-    return status >= HTTPResponse::HTTP_OK && status < HTTPResponse::HTTP_MULTIPLE_CHOICES;
-}
-
 std::string ms_text(std::chrono::nanoseconds time)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay_node.h"
 
+#include "base/unix_time.h"
+
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
 
@@ -18,13 +20,6 @@
 // clients' connections stay open until they have been told.
 constexpr auto closing_delay = 1500ms;
 
-std::uint64_t unix_ms(system_time time)
-{
-    const auto since = time.time_since_epoch();
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
-
 bool has_same_content(const owner_record& a, const owner_record& b)
 {
     return a.address == b.address && a.data_centre == b.data_centre && a.region == b.region &&
