Tell a passed deadline in words of our own

Ruled out: another answer (status, kind and run state were the golden ones).

Change: the detail says that the call did not end in time, whichever timer ended it. The golden file has this text and nothing of it is normalised any more, so the test is stricter.

Callers see one text for one outcome.

--- a/src/proxy/forward_attempt.cpp
+++ b/src/proxy/forward_attempt.cpp
@@ -222,8 +222,9 @@
     if (started && !is_late) {
         kind = error_kind::answer_incomplete;
     }
-    result =
-        attempt_result::failed(kind, "The call to the owner daemon: " + status.error_message());
+    // The library's own words for a deadline depend on which of its timers fires first.
+    const auto cause = is_late ? std::string("it did not end in time") : status.error_message();
+    result = attempt_result::failed(kind, "The call to the owner daemon: " + cause);
     result.answer_started = started;
 }
 
--- a/src/tests/support/golden_session.cpp
+++ b/src/tests/support/golden_session.cpp
@@ -48,11 +48,8 @@
 {
     static const std::regex id(R"re((X-Request-Id: |"request_id\\?":\\?")[0-9a-zA-Z.:_-]+)re");
     static const std::regex key(R"re(gr1\.[0-9a-zA-Z.:_-]+)re");
-    // Either side's timer may end a call at its deadline.
-    static const std::regex ended(R"re((owner daemon: )(CANCELLED|DEADLINE_EXCEEDED))re");
-    auto made = std::regex_replace(text, id, "$1<id>");
-    made = std::regex_replace(made, key, "<issued key>");
-    return std::regex_replace(made, ended, "$1<ended>");
+    const auto made = std::regex_replace(text, id, "$1<id>");
+    return std::regex_replace(made, key, "<issued key>");
 }
 
 } // namespace galenaroad
