Send the last bytes of an answer before a process or a connection ends

A response that closes its connection had the same fault at all times: it was cut one second after it had been written.

Ruled out: the stop time (5.3 s of 6 s, not reached), the deadline.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -154,6 +155,20 @@
     }
 }
 
+bool http_server::has_output()
+{
+    const auto has_sent_all = [](const std::weak_ptr<byte_channel>& each) {
+        const auto channel = each.lock();
+        return !channel || channel->unsent() == 0;
+    };
+    m_closing_channels.erase(
+        std::remove_if(m_closing_channels.begin(), m_closing_channels.end(), has_sent_all),
+        m_closing_channels.end());
+    return !m_closing_channels.empty() ||
+           std::any_of(m_connections.begin(), m_connections.end(),
+                       [](const auto& each) { return each->channel().unsent() > 0; });
+}
+
 void http_server::listen(const std::string& address)
 {
     m_socket.bind(Poco::Net::SocketAddress(address), true, false);
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace galenaroad {
 
@@ -118,6 +119,9 @@
     /// @return true after start_closing().
     bool is_closing() const { return m_closing; }
 
+    /// @return true while bytes of a response wait to be sent, also on connections that close.
+    bool has_output();
+
     /// @return requests that have been received and not been answered completely.
     std::size_t open_requests() const { return m_open_requests; }
 
@@ -133,6 +137,7 @@
     request_handler m_on_request;
     Poco::Net::ServerSocket m_socket;
     std::set<std::shared_ptr<http_server_connection>> m_connections;
+    std::vector<std::weak_ptr<byte_channel>> m_closing_channels; ///< With their last bytes.
     std::size_t m_open_requests = 0;
     std::size_t m_buffered_bytes = 0;
     event_loop::timer_id m_sweep_timer = event_loop::no_timer;
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -212,6 +212,9 @@
     enter(phase::ended);
     if (orderly) {
         m_channel->close();
+        if (m_channel->unsent() > 0) {
+            m_server.m_closing_channels.push_back(m_channel);
+        }
     }
     else {
         m_channel->reset();
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -361,7 +361,8 @@
 void relay_node::check_stopped()
 {
     const auto elapsed = m_context.now() - m_stopping_since;
-    const bool is_idle = m_entries.empty() && m_owned_requests.empty();
+    const bool is_idle = m_entries.empty() && m_owned_requests.empty() &&
+                         !m_entry_server.has_output() && !m_peer_server.has_output();
     if (elapsed >= m_settings.stop_time || (is_idle && elapsed >= least_stop_time)) {
         m_parts.log.note_state(
             "stopped",
--- a/src/tests/http_server_test.cpp
+++ b/src/tests/http_server_test.cpp
@@ -311,3 +311,27 @@
     CHECK(got.complete);
     CHECK(got.body == "late");
 }
+
+TEST_CASE("http_server: a response that closes its connection arrives whole at a slow client",
+          "[net]")
+{
+    // Guards against hunt-1864-3 on tvw-mesh-grown (LOST): the last bytes of a download on a thin
+    // link were cut one second after the response had been written.
+    const std::string large(std::size_t{24} * 1024 * 1024, 'x');
+    loopback at([&](const std::shared_ptr<server_exchange>& client) {
+        http_response_head head;
+        head.status = 200;
+        head.keep_alive = false;
+        client->respond(std::move(head), large);
+    });
+    received got;
+    auto call = at.client.send(at.address, get("/"), hooks_for(got, at.loop));
+    at.loop.after(50ms, [&] { call->pause(true); });
+    at.loop.after(1600ms, [&] { call->pause(false); });
+    CHECK_FALSE(at.server.has_output());
+    at.loop.after(1500ms, [&] { CHECK(at.server.has_output()); });
+    at.run_for(4s);
+    CHECK(got.complete);
+    CHECK(got.body.size() == large.size());
+    CHECK_FALSE(at.server.has_output());
+}
