Let a closing connection linger while its other end takes bytes, again

Before and after: `http_server: a response that closes its connection arrives whole at a slow client` failed on two checks, passes now.

--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -18,6 +18,8 @@
 constexpr int reads_per_event = 4;
 // Time for the other end to take the last bytes and close.
 constexpr auto linger_time = 1s;
+// Linger times without a byte taken after which the last bytes are given up.
+constexpr int max_stalls = 4;
 constexpr int keepalive_idle_seconds = 1;
 constexpr int keepalive_interval_seconds = 1;
 constexpr int keepalive_probes = 2;
@@ -117,11 +119,25 @@
     m_phase = phase::closing;
     m_paused = false;
     m_loop.cancel(m_timer);
-    // The timer owns the channel until the other end has closed.
-    m_timer = m_loop.after(linger_time, [self = shared_from_this()] { self->release(); });
+    linger();
     flush();
 }
 
+// The timer owns the channel until the other end has closed, or takes no more bytes.
+void byte_channel::linger()
+{
+    m_timer = m_loop.after(linger_time, [self = shared_from_this(), waiting = unsent()] {
+        const bool proceeds = self->unsent() < waiting;
+        self->m_stalls = proceeds ? 0 : self->m_stalls + 1;
+        const int allowed = self->unsent() > 0 ? max_stalls : 0;
+        if (self->m_stalls > allowed) {
+            self->release();
+            return;
+        }
+        self->linger();
+    });
+}
+
 void byte_channel::reset()
 {
     set_hooks({});
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -88,6 +88,7 @@
     int send_some();
     void end(channel_end how);
     void finish_closing();
+    void linger();
     void release();
     void update_interest();
     std::shared_ptr<hooks> held_hooks() const { return m_hooks; }
@@ -99,6 +100,7 @@
     std::string m_output;
     std::size_t m_sent = 0;
     phase m_phase = phase::connecting;
+    int m_stalls = 0; ///< Linger times in a row in which no byte was taken.
     bool m_paused = false;
     bool m_shut_down = false;
     event_loop::timer_id m_timer = event_loop::no_timer;
