--- a/src/experiment/overload_model.cpp
+++ b/src/experiment/overload_model.cpp
@@ -36,8 +36,7 @@
 overload_model::overload_model(const overload_parameters& parameters)
     : m_parameters(parameters),
       m_random(parameters.seed),
-      m_now(24h),
-      m_end(m_now + parameters.duration)
+      m_end(m_loop.steady_now() + parameters.duration)
 {
     for (int service = 0; service < service_count; ++service) {
         for (int index = 0; index < parameters.upstreams; ++index) {
@@ -57,20 +56,10 @@
 overload_result overload_model::run()
 {
     schedule_arrival();
-    while (!m_events.empty()) {
-        const event next = m_events.top();
-        m_events.pop();
-        m_now = next.at;
-        next.action();
-    }
+    m_loop.run();
     return m_result;
 }
 
-void overload_model::schedule(steady_time::duration delay, std::function<void()> action)
-{
-    m_events.push({m_now + delay, m_next_order++, std::move(action)});
-}
-
 void overload_model::schedule_arrival()
 {
     // A call keeps its slot during its nested call, so that both the number of calls and the time
@@ -81,13 +70,13 @@
     const double slots =
         static_cast<double>(service_count) * m_parameters.upstreams * m_parameters.slots;
     const std::chrono::duration<double> gap(slot_time / (slots * m_parameters.load));
-    schedule(random_time(gap), [this] {
-        if (m_now >= m_end) {
+    m_loop.after(random_time(gap), [this] {
+        if (m_loop.steady_now() >= m_end) {
             return;
         }
         const long id = start_call(chance(0.5) ? 0 : 1, no_parent);
         ++m_result.requests;
-        schedule(m_parameters.timeout, [this, id] { check_deadline(id); });
+        m_loop.after(m_parameters.timeout, [this, id] { check_deadline(id); });
         schedule_arrival();
     });
 }
@@ -97,8 +86,8 @@
     call made;
     made.service = service;
     made.parent = parent;
-    made.arrived = m_now;
-    made.context.deadline = m_now + m_parameters.timeout;
+    made.arrived = m_loop.steady_now();
+    made.context.deadline = m_loop.steady_now() + m_parameters.timeout;
     if (parent != no_parent) {
         made.context = m_calls[parent].context;
         ++made.context.depth;
@@ -115,7 +104,8 @@
 {
     call& current = m_calls[id];
     const auto& candidates = m_candidates[current.service];
-    const auto* chosen = upstream_selector().select(candidates, current.tried, m_now, m_random);
+    const auto* chosen =
+        upstream_selector().select(candidates, current.tried, m_loop.steady_now(), m_random);
     if (chosen == nullptr) {
         answer(id, false);
         return;
@@ -142,7 +132,7 @@
     const auto ticket = current.ticket;
     const auto decision = queue.offer(
         {ticket, "caller", request_class::read, current.context.depth, current.context.deadline},
-        m_now);
+        m_loop.steady_now());
     for (const auto displaced : queue.take_displaced()) {
         fail_attempt(m_tickets.at(displaced), error_kind::upstream_busy, run_state::not_run);
     }
@@ -154,7 +144,7 @@
         fail_attempt(id, decision.reason, run_state::not_run);
         return;
     }
-    schedule(decision.wait_until - m_now, [this, id, ticket] {
+    m_loop.after(decision.wait_until - m_loop.steady_now(), [this, id, ticket] {
         const call& waiting = m_calls[id];
         if (waiting.ticket == ticket &&
             m_servers[waiting.service][waiting.upstream].queue.abandon(ticket)) {
@@ -177,8 +167,9 @@
 
 void overload_model::begin(long id)
 {
-    m_calls[id].admitted = m_now;
-    schedule(random_time(m_parameters.service_time / 2), [this, id] { call_nested_or_finish(id); });
+    m_calls[id].admitted = m_loop.steady_now();
+    m_loop.after(random_time(m_parameters.service_time / 2),
+                 [this, id] { call_nested_or_finish(id); });
 }
 
 void overload_model::call_nested_or_finish(long id)
@@ -189,8 +180,8 @@
         start_call(1 - current.service, id);
         return;
     }
-    schedule(random_time(m_parameters.service_time / 2),
-             [this, id] { finish(id, !chance(m_parameters.failing_share)); });
+    m_loop.after(random_time(m_parameters.service_time / 2),
+                 [this, id] { finish(id, !chance(m_parameters.failing_share)); });
 }
 
 void overload_model::finish(long id, bool succeeded)
@@ -209,7 +200,7 @@
     const call& current = m_calls[id];
     auto& target = m_servers[current.service][current.upstream];
     if (m_parameters.policy == overload_policy::product) {
-        for (const auto ticket : target.queue.finish(current.admitted, m_now)) {
+        for (const auto ticket : target.queue.finish(current.admitted, m_loop.steady_now())) {
             begin(m_tickets.at(ticket));
         }
         return;
@@ -230,7 +221,8 @@
     const failed_attempt failed{kind, run, current.attempts, true, true, false};
     const bool again =
         m_parameters.policy == overload_policy::product
-            ? retry_policy::may_retry(failed, current.context, m_budgets[current.service], m_now)
+            ? retry_policy::may_retry(failed, current.context, m_budgets[current.service],
+                                      m_loop.steady_now())
             : current.attempts < baseline_attempts;
     if (again) {
         attempt(id);
@@ -248,8 +240,8 @@
             finish(parent, false);
             return;
         }
-        schedule(random_time(m_parameters.service_time / 2),
-                 [this, parent] { finish(parent, !chance(m_parameters.failing_share)); });
+        m_loop.after(random_time(m_parameters.service_time / 2),
+                     [this, parent] { finish(parent, !chance(m_parameters.failing_share)); });
         return;
     }
     if (current.done) {
@@ -261,7 +253,7 @@
         return;
     }
     ++m_result.refused;
-    m_result.refusal_time += m_now - current.arrived;
+    m_result.refusal_time += m_loop.steady_now() - current.arrived;
 }
 
 void overload_model::check_deadline(long id)
--- a/src/experiment/overload_model.h
+++ b/src/experiment/overload_model.h
@@ -4,14 +4,13 @@
 #include "admission/retry_budget.h"
 #include "admission/slot_queue.h"
 #include "base/random_engine.h"
+#include "experiment/simulated_loop.h"
 #include "routing/upstream_selector.h"
 
 #include <array>
 #include <chrono>
 #include <deque>
-#include <functional>
 #include <map>
-#include <queue>
 #include <vector>
 
 namespace galenaroad {
@@ -88,17 +87,6 @@
         std::deque<long> backlog; ///< Used by the unbounded queue only.
         int running = 0;          ///< Used by the unbounded queue only.
     };
-    struct event {
-        steady_time at;
-        std::uint64_t order;
-        std::function<void()> action;
-        bool operator>(const event& other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
-
-    void schedule(steady_time::duration delay, std::function<void()> action);
     void schedule_arrival();
     long start_call(int service, long parent);
     void attempt(long id);
@@ -116,11 +104,9 @@
 
     overload_parameters m_parameters;
     random_engine m_random;
-    steady_time m_now;
+    simulated_loop m_loop;
     steady_time m_end;
-    std::uint64_t m_next_order = 0;
     std::uint64_t m_next_ticket = 1;
-    std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
     std::array<service_candidates, service_count> m_candidates;
     std::array<std::vector<server>, service_count> m_servers;
     std::array<retry_budget, service_count> m_budgets;
--- a/src/experiment/relay_replay.cpp
+++ b/src/experiment/relay_replay.cpp
@@ -17,39 +17,12 @@
 constexpr auto window_length = 2s;
 constexpr double attempt_part = 0.5;
 constexpr int max_attempts = 2;
-constexpr double slow_load = 0.85; // Part of the slots from which upstreams turn slower.
-constexpr double slow_factor = 1.25;
-constexpr double nines_best = 0.005;
 constexpr double exchange_bytes = 1500;
 constexpr double bytes_per_mb = 1e6;
 constexpr double percent = 100;
 
-std::string data_centre_name(std::size_t index)
-{
-    return "dc-" + std::to_string(index);
-}
-
 } // namespace
 
-/// An upstream with its owner.
-struct relay_replay::server {
-    server(const clock& time, retry_bounds bounds, owner_policy policy)
-        : owned(time, bounds, policy)
-    {
-    }
-
-    owned_upstream owned;
-    std::string address;
-    std::size_t index = 0;
-    std::size_t data_centre = 0;
-    std::size_t service = 0;
-    int place = 0; ///< Among the upstreams of its service.
-    int running = 0;
-    std::chrono::nanoseconds noise_phase{0};
-    std::vector<bool> noisy_periods; ///< Drawn in advance: the same for all versions.
-    std::map<std::uint64_t, job_ptr> waiting;
-};
-
 /// A request of a client, or a call of an upstream.
 struct relay_replay::request {
     request(std::size_t of_kind, std::size_t at_entry, const owner_directory& directory,
@@ -76,7 +49,7 @@
 /// One attempt of a request at an owner.
 struct relay_replay::job {
     request_ptr asked;
-    server* at = nullptr;
+    replay_server* at = nullptr;
     relay_order order;
     std::uint64_t ticket = 0;
     steady_time started;
@@ -84,47 +57,6 @@
     bool has_ended = false;
 };
 
-double replay_result::nines() const
-{
-    const double missing =
-        all.asked > 0 ? 1 - static_cast<double>(all.served) / static_cast<double>(all.asked) : 0;
-    return std::min(1.0, std::log(std::max(missing, nines_best)) / std::log(nines_best));
-}
-
-double replay_result::worst_windows() const
-{
-    std::vector<double> worths;
-    for (const auto& window : windows) {
-        if (window.asked > 0) {
-            worths.push_back(window.worth());
-        }
-    }
-    std::sort(worths.begin(), worths.end());
-    if (worths.size() < 2) {
-        return 1;
-    }
-    return (worths[0] + worths[1]) / 2;
-}
-
-double replay_result::worst_kind() const
-{
-    double least = 1;
-    for (const auto& [name, counts] : kinds) {
-        least = std::min(least, counts.worth());
-    }
-    return least;
-}
-
-double replay_result::worth() const
-{
-    constexpr double whole_weight = 0.35;
-    constexpr double nines_weight = 0.35;
-    constexpr double windows_weight = 0.15;
-    constexpr double kind_weight = 0.15;
-    return whole_weight * all.worth() + nines_weight * nines() + windows_weight * worst_windows() +
-           kind_weight * worst_kind();
-}
-
 relay_replay::relay_replay(const replay_scenario& scenario, replay_version version,
                            std::uint64_t seed)
     : m_scenario(scenario),
@@ -132,53 +64,26 @@
       m_random(seed),
       m_start(m_loop.steady_now())
 {
-    add_servers();
+    for (std::size_t service = 0; service < scenario.services.size(); ++service) {
+        for (int number = 0; number < scenario.services[service].upstreams; ++number) {
+            add_server(service, number);
+        }
+    }
 }
 
 relay_replay::~relay_replay() = default;
 
-void relay_replay::add_servers()
+void relay_replay::add_server(std::size_t service, int number)
 {
-    for (std::size_t service = 0; service < m_scenario.services.size(); ++service) {
-        const auto& of = m_scenario.services[service];
-        for (int place = 0; place < of.upstreams; ++place) {
-            auto made = std::make_unique<server>(m_loop, retry_bounds{0.2, m_scenario.retry_extra},
-                                                 m_version.policy);
-            made->index = m_servers.size();
-            made->address = "10.0.0." + std::to_string(made->index) + ":1";
-            made->service = service;
-            made->place = place;
-            made->data_centre = static_cast<std::size_t>(place % m_scenario.data_centres);
-            made->noise_phase = std::chrono::nanoseconds(static_cast<std::int64_t>(
-                uniform(0, 1) *
-                static_cast<double>(std::chrono::nanoseconds(m_scenario.noise.period).count())));
-            const auto periods =
-                static_cast<std::size_t>(m_scenario.length() / m_scenario.noise.period) + 2;
-            for (std::size_t period = 0; period < periods; ++period) {
-                made->noisy_periods.push_back(chance(m_scenario.noise.share));
-            }
-            upstream_heartbeat beat;
-            beat.id = made->address;
-            beat.service = of.name;
-            beat.slots = of.slots;
-            beat.sequence = 1;
-            made->owned.note_heartbeat(beat);
-            owner_record record;
-            record.address = made->address;
-            record.data_centre = data_centre_name(made->data_centre);
-            record.region = std::to_string(
-                made->data_centre / static_cast<std::size_t>(m_scenario.data_centres_per_region));
-            record.service = of.name;
-            record.state = announced_state::ready;
-            record.revision = 1;
-            m_directory.merge(record);
-            m_by_address[made->address] = made->index;
-            m_rankings.emplace_back(
-                daemon_location{record.address, record.data_centre, record.region},
-                random_engine(m_random()));
-            m_servers.push_back(std::move(made));
-        }
-    }
+    auto made =
+        std::make_unique<replay_server>(m_scenario, replay_place{m_servers.size(), service, number},
+                                        m_loop, m_version.policy, m_random);
+    const auto record = made->record();
+    m_directory.merge(record);
+    m_by_address[record.address] = m_servers.size();
+    m_rankings.emplace_back(daemon_location{record.address, record.data_centre, record.region},
+                            random_engine(m_random()));
+    m_servers.push_back(std::move(made));
 }
 
 replay_result relay_replay::run()
@@ -272,11 +177,11 @@
 void relay_replay::arrive(const job_ptr& made, const relay_order& order)
 {
     auto& at = *made->at;
-    if (is_gone(at)) {
+    if (at.is_gone()) {
         refuse(made, owner_reason::unreachable, 0ms);
         return;
     }
-    const auto owners = m_scenario.services[at.service].upstreams;
+    const auto owners = m_scenario.services[at.place().service].upstreams;
     const auto decision = at.owned.ask(order, owners);
     made->ticket = decision.ticket;
     made->is_trial = decision.is_trial;
@@ -299,19 +204,17 @@
 void relay_replay::wait_in_line(const job_ptr& made, const relay_order& order)
 {
     auto& at = *made->at;
-    at.waiting[made->ticket] = made;
+    const auto index = at.place().index;
+    m_waiting[{index, made->ticket}] = made;
     const auto limit = at.owned.wait_limit(order) - at.owned.expected_service(order.route) / 2;
     m_loop.after(std::max<std::chrono::nanoseconds>(limit, 0ms), [this, made] {
-        if (made->at->waiting.erase(made->ticket) > 0) {
+        if (m_waiting.erase({made->at->place().index, made->ticket}) > 0) {
             made->at->owned.withdraw(made->ticket);
             refuse(made, owner_reason::expired, made->at->owned.mean_service());
         }
     });
     for (const auto ticket : at.owned.take_hopeless()) {
-        const auto found = at.waiting.find(ticket);
-        const auto hopeless = found->second;
-        at.waiting.erase(found);
-        refuse(hopeless, owner_reason::expired, at.owned.mean_service());
+        refuse(take_waiting(index, ticket), owner_reason::expired, at.owned.mean_service());
     }
 }
 
@@ -321,12 +224,12 @@
     made->started = m_loop.steady_now();
     ++at.running;
     ++m_result.attempts;
-    if (chance(shedding(at))) {
+    if (chance(at.rejecting_share())) {
         m_loop.after(failing_time, [this, made] { finish(made, run_outcome::rejection); });
         return;
     }
     const auto& of = m_scenario.kinds[made->asked->kind];
-    if (is_failing(at) || chance(of.failing_share)) {
+    if (chance(at.failing_share()) || chance(of.failing_share)) {
         m_loop.after(failing_time, [this, made] { finish(made, run_outcome::failure); });
         return;
     }
@@ -339,7 +242,7 @@
     const double spread = of.work_spread;
     std::lognormal_distribution<double> scatter(-spread * spread / 2, spread);
     const auto time = std::chrono::duration_cast<std::chrono::nanoseconds>(
-        of.work * (scatter(m_random) * slowness(*made->at)));
+        of.work * (scatter(m_random) * made->at->slowness()));
     if (of.calls.empty() || !chance(of.call_share)) {
         m_loop.after(time, [this, made] { finish(made, run_outcome::success); });
         return;
@@ -347,13 +250,14 @@
     m_loop.after(time / 2, [this, made, time] {
         const auto deadline = made->asked->deadline;
         const auto& calls = m_scenario.kinds[made->asked->kind].calls;
-        begin(kind_named(calls), made->at->index, deadline, [this, made, time](bool is_served) {
-            if (!is_served) {
-                finish(made, run_outcome::inconclusive);
-                return;
-            }
-            m_loop.after(time / 2, [this, made] { finish(made, run_outcome::success); });
-        });
+        begin(kind_named(calls), made->at->place().index, deadline,
+              [this, made, time](bool is_served) {
+                  if (!is_served) {
+                      finish(made, run_outcome::inconclusive);
+                      return;
+                  }
+                  m_loop.after(time / 2, [this, made] { finish(made, run_outcome::success); });
+              });
     });
 }
 
@@ -375,16 +279,21 @@
     run_waiting(at);
 }
 
-void relay_replay::run_waiting(server& at)
+void relay_replay::run_waiting(replay_server& at)
 {
     for (auto ticket = at.owned.next(); ticket; ticket = at.owned.next()) {
-        const auto found = at.waiting.find(*ticket);
-        const auto next = found->second;
-        at.waiting.erase(found);
-        run_job(next);
+        run_job(take_waiting(at.place().index, *ticket));
     }
 }
 
+relay_replay::job_ptr relay_replay::take_waiting(std::size_t server, std::uint64_t ticket)
+{
+    const auto found = m_waiting.find({server, ticket});
+    auto made = found->second;
+    m_waiting.erase(found);
+    return made;
+}
+
 void relay_replay::refuse(const job_ptr& made, owner_reason reason,
                           std::chrono::milliseconds retry_after)
 {
@@ -401,7 +310,7 @@
     report.load_percent = made->at->owned.load_percent();
     const bool has_answer = report.result == owner_result::answered;
     const auto& entry = *m_servers[made->asked->entry];
-    if (entry.data_centre != made->at->data_centre) {
+    if (entry.data_centre() != made->at->data_centre()) {
         const double answer = has_answer ? m_scenario.kinds[made->asked->kind].answer_bytes : 0;
         m_result.far_megabytes += (exchange_bytes + answer) / bytes_per_mb;
     }
@@ -413,8 +322,8 @@
 {
     const auto& asked = made->asked;
     m_rankings[asked->entry].note_condition(
-        made->at->address, {report.failing_percent / percent, report.load_percent / percent},
-        m_loop.steady_now());
+        made->at->record().address,
+        {report.failing_percent / percent, report.load_percent / percent}, m_loop.steady_now());
     --asked->outstanding;
     if (asked->has_ended) {
         return;
@@ -424,7 +333,7 @@
         return;
     }
     if (report.result == owner_result::not_run) {
-        asked->search.note_refusal(made->at->address, report);
+        asked->search.note_refusal(made->at->record().address, report);
         if (report.reason == owner_reason::expired && asked->outstanding == 0) {
             end(asked, asked->has_run ? "failed" : "refused");
             return;
@@ -438,7 +347,7 @@
                                    is_idempotent(m_scenario.kinds[asked->kind].kind));
     asked->has_grant = made->is_trial || (may_follow && made->at->owned.grant_attempt());
     asked->has_run = asked->has_run || report.result == owner_result::failed;
-    asked->search.exclude(made->at->address);
+    asked->search.exclude(made->at->record().address);
     on_attempt_ended(asked);
 }
 
@@ -508,70 +417,18 @@
 bool relay_replay::has_free_slot(std::size_t service) const
 {
     return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& each) {
-        return each->service == service && !is_gone(*each) &&
-               each->running < m_scenario.services[service].slots;
+        return each->place().service == service && each->has_free_slot();
     });
 }
 
-bool relay_replay::is_failing(server& at)
-{
-    const auto* const fault = fault_at(at, replay_fault::effect::fails);
-    if (fault != nullptr && chance(fault->strength)) {
-        return true;
-    }
-    const auto& noise = m_scenario.noise;
-    const auto period =
-        static_cast<std::size_t>((m_loop.steady_now() - m_start + at.noise_phase) / noise.period);
-    const bool is_noisy = period < at.noisy_periods.size() && at.noisy_periods[period];
-    return is_noisy && chance(noise.failing_share);
-}
-
-double relay_replay::slowness(const server& at) const
-{
-    const auto* const fault = fault_at(at, replay_fault::effect::slows);
-    const double own = fault == nullptr ? 1 : fault->strength;
-    const double load = static_cast<double>(at.running) / m_scenario.services[at.service].slots;
-    return load > slow_load ? own * slow_factor : own;
-}
-
-double relay_replay::shedding(const server& at) const
-{
-    const auto* const fault = fault_at(at, replay_fault::effect::sheds);
-    return fault == nullptr ? 0 : fault->strength;
-}
-
-bool relay_replay::is_gone(const server& at) const
-{
-    return fault_at(at, replay_fault::effect::leaves) != nullptr;
-}
-
-const replay_fault* relay_replay::fault_at(const server& at, replay_fault::effect what) const
-{
-    const auto now = elapsed();
-    const auto total = m_scenario.services[at.service].upstreams;
-    for (const auto& fault : m_scenario.faults) {
-        const bool is_meant = fault.what == what && fault.service == at.service &&
-                              at.place < std::lround(fault.share * total);
-        if (is_meant && fault.from <= now && now < fault.until) {
-            return &fault;
-        }
-    }
-    return nullptr;
-}
-
-std::chrono::milliseconds relay_replay::elapsed() const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_loop.steady_now() - m_start);
-}
-
-std::chrono::nanoseconds relay_replay::way(std::size_t from, const server& to) const
+std::chrono::nanoseconds relay_replay::way(std::size_t from, const replay_server& to) const
 {
-    const auto here = m_servers[from]->data_centre;
+    const auto here = m_servers[from]->data_centre();
     const auto per_region = static_cast<std::size_t>(m_scenario.data_centres_per_region);
-    if (here == to.data_centre) {
+    if (here == to.data_centre()) {
         return same_data_centre;
     }
-    return here / per_region == to.data_centre / per_region
+    return here / per_region == to.data_centre() / per_region
                ? std::chrono::nanoseconds(same_region)
                : std::chrono::nanoseconds(other_region);
 }
--- a/src/experiment/relay_replay.h
+++ b/src/experiment/relay_replay.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "base/random_engine.h"
+#include "experiment/replay_result.h"
 #include "experiment/replay_scenario.h"
+#include "experiment/replay_server.h"
 #include "experiment/simulated_loop.h"
 #include "fleet/owner_directory.h"
 #include "relay/owned_upstream.h"
@@ -23,44 +25,6 @@
     bool makes_trials = true; ///< Requests that may run twice try upstreams in doubt.
 };
 
-/// What became of the requests of one kind, or of all.
-struct replay_counts {
-    long asked = 0;
-    long served = 0;
-    long refused = 0; ///< Told that they have not run.
-    long failed = 0;
-    double owed = 0;
-    double credit = 0;
-
-    /// @return the part of the credit owed that was earned.
-    double worth() const { return owed > 0 ? credit / owed : 1; }
-};
-
-/// Measures of one replay.
-struct replay_result {
-    std::map<std::string, replay_counts> kinds; ///< Of clients.
-    replay_counts all;
-    std::vector<replay_counts> windows; ///< Of two seconds each.
-    long attempts = 0;                  ///< Runs at upstreams, also of calls.
-    long requests = 0;                  ///< Of clients and calls.
-    long wasted_runs = 0;               ///< Ended after their request had been answered.
-    long refused_beside_free_slot = 0;  ///< While an upstream of the service had a free slot.
-    std::chrono::milliseconds refused_held{0}; ///< Sum of the time that refused requests took.
-    double far_megabytes = 0;                  ///< Between data centres.
-
-    /// @return the share served, as a part of the nines that count at most (0.995).
-    double nines() const;
-
-    /// @return the mean of the two windows with the least worth.
-    double worst_windows() const;
-
-    /// @return the least worth of a kind.
-    double worst_kind() const;
-
-    /// @return all of it, weighed as the users weigh it, without prices.
-    double worth() const;
-};
-
 /// Model of a fleet over the decisions of src/relay: backend servers with slots, noise and faults,
 /// entries that know only what owners told them, and calls between services.
 class relay_replay {
@@ -81,13 +45,12 @@
 
 private:
     struct request;
-    struct server;
     struct job;
     using request_ptr = std::shared_ptr<request>;
     using job_ptr = std::shared_ptr<job>;
     using end_hook = std::function<void(bool)>;
 
-    void add_servers();
+    void add_server(std::size_t service, int number);
     void schedule_arrivals(std::size_t kind);
     void begin(std::size_t kind, std::size_t entry, steady_time deadline, end_hook on_end);
     void try_next(const request_ptr& asked);
@@ -97,7 +60,8 @@
     void run_job(const job_ptr& made);
     void work(const job_ptr& made);
     void finish(const job_ptr& made, run_outcome outcome);
-    void run_waiting(server& at);
+    void run_waiting(replay_server& at);
+    job_ptr take_waiting(std::size_t server, std::uint64_t ticket);
     void refuse(const job_ptr& made, owner_reason reason, std::chrono::milliseconds retry_after);
     void tell(const job_ptr& made, owner_report report);
     void on_report(const job_ptr& made, const owner_report& report);
@@ -107,13 +71,7 @@
     void count(const request& asked, const std::string& how);
     bool may_repeat(const request& asked, int attempts) const;
     bool has_free_slot(std::size_t service) const;
-    bool is_failing(server& at);
-    double slowness(const server& at) const;
-    double shedding(const server& at) const;
-    bool is_gone(const server& at) const;
-    const replay_fault* fault_at(const server& at, replay_fault::effect what) const;
-    std::chrono::milliseconds elapsed() const;
-    std::chrono::nanoseconds way(std::size_t from, const server& to) const;
+    std::chrono::nanoseconds way(std::size_t from, const replay_server& to) const;
     std::size_t kind_named(const std::string& name) const;
     bool chance(double share);
     double uniform(double least, double greatest);
@@ -124,9 +82,12 @@
     simulated_loop m_loop;
     steady_time m_start;
     owner_directory m_directory;
-    std::vector<std::unique_ptr<server>> m_servers; ///< Their daemons are the entries as well.
+    std::vector<std::unique_ptr<replay_server>>
+        m_servers; ///< Their daemons are the entries as well.
     std::map<std::string, std::size_t> m_by_address;
     std::vector<owner_ranking> m_rankings; ///< One for each entry.
+    /// Owners by request that waits for a slot.
+    std::map<std::pair<std::size_t, std::uint64_t>, job_ptr> m_waiting;
     replay_result m_result;
 };
 
--- a/src/experiment/simulated_loop.cpp
+++ b/src/experiment/simulated_loop.cpp
@@ -21,16 +21,28 @@
     m_events.push({m_now + delay, m_order++, std::move(action)});
 }
 
+void simulated_loop::run()
+{
+    while (!m_events.empty()) {
+        run_next();
+    }
+}
+
 void simulated_loop::run_for(std::chrono::nanoseconds length)
 {
     const auto end = m_now + length;
     while (!m_events.empty() && m_events.top().at < end) {
-        auto next = m_events.top();
-        m_events.pop();
-        m_now = next.at;
-        next.action();
+        run_next();
     }
     m_now = end;
 }
 
+void simulated_loop::run_next()
+{
+    const auto next = m_events.top();
+    m_events.pop();
+    m_now = next.at;
+    next.action();
+}
+
 } // namespace galenaroad
--- a/src/experiment/simulated_loop.h
+++ b/src/experiment/simulated_loop.h
@@ -22,6 +22,9 @@
     /// @param action what is called.
     void after(std::chrono::nanoseconds delay, std::function<void()> action);
 
+    /// Runs until no event is left.
+    void run();
+
     /// Runs until no event is left before a time.
     /// @param length the time from the start.
     void run_for(std::chrono::nanoseconds length);
@@ -37,6 +40,8 @@
         }
     };
 
+    void run_next();
+
     steady_time m_now;
     std::uint64_t m_order = 0;
     std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
--- a/src/relay/answer_query_handler.cpp
+++ b/src/relay/answer_query_handler.cpp
@@ -31,7 +31,8 @@
 {
     const auto state = context.answers.look_up(query);
     context.metrics.note_answer_query(state_name(state));
-    context.log.note("answer_query", {},
+    const auto request_id = http_head::find(client->head().fields, context.names.request_id);
+    context.log.note("answer_query", std::string(request_id.value_or("")),
                      {{"attempt", query.attempt_id}, {"outcome", state_name(state)}});
     switch (state) {
     case answer_state::kept: {
--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -1,11 +1,10 @@
 #include "relay/entry_exchange.h"
 
 #include "net/http_status.h"
+#include "relay/entry_reply.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 namespace galenaroad {
 
@@ -21,18 +20,6 @@
 // Part of the remaining time that one attempt may take while another one can follow.
 constexpr double attempt_part = 0.5;
 constexpr std::size_t max_unsent_bytes = std::size_t{256} * 1024;
-constexpr auto least_retry_after = 250ms;
-constexpr double answer_size_weight = 0.2;
-constexpr double default_answer_bytes = 5000;
-constexpr double default_download_bytes = 100'000;
-
-std::string seconds_text(std::chrono::milliseconds time)
-{
-    std::array<char, 32> text{};
-    const std::chrono::duration<double> seconds = time;
-    const int size = std::snprintf(text.data(), text.size(), "%.2f", seconds.count());
-    return {text.data(), static_cast<std::size_t>(size)};
-}
 
 } // namespace
 
@@ -85,7 +72,7 @@
     m_deadline = m_client->received_at() + allowed;
     m_goal = m_client->received_at() + std::min(allowed, m_route->latency_goal);
     m_service = m_context.splits.choose(*m_route);
-    m_search.begin(m_service, expected_answer_bytes());
+    m_search.begin(m_service, m_context.sizes.expected(*m_route));
     return true;
 }
 
@@ -104,15 +91,6 @@
     send_to(*owner);
 }
 
-double entry_exchange::expected_answer_bytes() const
-{
-    const auto known = m_context.answer_bytes.find(m_route->name);
-    if (known != m_context.answer_bytes.end()) {
-        return known->second;
-    }
-    return m_route->kind == request_kind::download ? default_download_bytes : default_answer_bytes;
-}
-
 void entry_exchange::send_to(const owner_record& owner)
 {
     owner_request request;
@@ -202,11 +180,7 @@
     }
     m_current = made;
     m_earlier.reset();
-    auto head = made->head();
-    http_head::remove_connection_fields(head.fields);
-    http_head::remove(head.fields, owner_report::header);
-    head.keep_alive = true;
-    m_client->begin(std::move(head));
+    m_client->begin(entry_reply::delivered(made->head()));
     made->pass_on();
 }
 
@@ -417,36 +391,24 @@
 
 void entry_exchange::deliver()
 {
-    auto head = m_kept.head;
     const bool has_run = m_execution == execution::perhaps;
-    if (has_run && !is_idempotent(m_route->kind) && promises_not_run(head.status)) {
+    if (has_run && !is_idempotent(m_route->kind) && promises_not_run(m_kept.head.status)) {
         // The status would promise that the request has not run.
         m_kept.is_valid = false;
         answer(HTTPResponse::HTTP_BAD_GATEWAY, "misleading_status");
         return;
     }
-    http_head::remove_connection_fields(head.fields);
-    http_head::remove(head.fields, owner_report::header);
-    head.keep_alive = true;
-    auto& size = m_context.answer_bytes[m_route->name];
-    const auto bytes = static_cast<double>(m_kept.body.size());
-    size = size == 0 ? bytes : size + (bytes - size) * answer_size_weight;
-    m_client->respond(std::move(head), m_kept.body);
+    m_context.sizes.note(*m_route, m_kept.body.size());
+    m_client->respond(entry_reply::delivered(m_kept.head), m_kept.body);
     note_answered(m_kept.head.status, "delivered");
 }
 
 void entry_exchange::answer(int status, const char* reason)
 {
-    http_response_head head;
-    head.status = status;
-    if (!m_request_id.empty()) {
-        head.fields.push_back({m_context.names.request_id, m_request_id});
-    }
-    if (status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE) {
-        const auto wait =
-            std::max<std::chrono::milliseconds>(m_search.retry_after(), least_retry_after);
-        head.fields.push_back({"Retry-After", seconds_text(wait)});
-    }
+    const bool is_not_run = status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    auto head = is_not_run
+                    ? entry_reply::not_run(m_context.names, m_request_id, m_search.retry_after())
+                    : entry_reply::own(m_context.names, m_request_id, status);
     m_client->respond(std::move(head), {});
     note_answered(status, reason);
 }
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -62,7 +62,6 @@
     void end();
     bool is_from_own_instance() const;
     std::chrono::milliseconds remaining() const;
-    double expected_answer_bytes() const;
 
     relay_context& m_context;
     std::shared_ptr<server_exchange> m_client;
--- a/src/relay/owner_call.cpp
+++ b/src/relay/owner_call.cpp
@@ -72,7 +72,9 @@
     client_request made;
     made.head.method = "GET";
     made.head.target = answer_query::path;
-    made.head.fields = {{"Host", owner()}, {answer_query::header, relay_message::encode(query)}};
+    made.head.fields = {{"Host", owner()},
+                        {m_context.names.request_id, m_request_id},
+                        {answer_query::header, relay_message::encode(query)}};
     made.connect_timeout = connect_timeout;
     return made;
 }
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -4,6 +4,7 @@
 #include "fleet/plan_index.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "relay/answer_sizes.h"
 #include "relay/answer_store.h"
 #include "relay/header_names.h"
 #include "relay/owned_upstream.h"
@@ -38,7 +39,7 @@
     std::function<std::string()> new_attempt_id; ///< Unique over all daemons and their starts.
     std::string own_service;                     ///< Service whose upstream runs on this instance.
     std::shared_ptr<const plan_index> plan;      ///< Null until one is known.
-    std::map<std::string, double> answer_bytes;  ///< Average size of answers, by route.
+    answer_sizes sizes;                          ///< Of answers, by route.
     /// When a request from this instance last failed. It may have been a call of the owned
     /// upstream, which then fails at once through no fault of its own.
     steady_time local_failure_at;
