Share what owners tell within a data centre; refuse little for doubt

Ruled out: belief or conditions kept longer or shorter, longer and shorter waits, more questions, trials with reserved attempts; see docs/decisions_under_load.md. Change: daemons tell those of their data centre in datagrams what owners told them and how many requests were not served. Owners refuse for doubt only requests that cannot be sent again, above 0.9. While many requests are not served, those that can be sent again take risks as far as the retry budget lasts, and try owners that were not heard of; sound ones are tried at any time. Owners that stop or leave are not asked for 1.5 s. The search has two stages. Trials, their pauses and two thresholds are gone.

--- a/src/experiment/relay_experiment.cpp
+++ b/src/experiment/relay_experiment.cpp
@@ -9,24 +9,30 @@
 
 using namespace galenaroad;
 
-/// The product and what it is compared with.
+// Probability that no belief exceeds.
+constexpr double certain = 1;
+
+/// The product and what it is compared with: each mechanism switched off, and more knowledge.
 std::vector<replay_version> all_versions()
 {
     std::vector<replay_version> versions(1);
-    replay_version never_doubts;
-    never_doubts.name = "never doubts";
-    never_doubts.policy.careful_doubt = 2;
-    never_doubts.policy.waiting_doubt = 2;
-    never_doubts.policy.forced_doubt = 2;
-    versions.push_back(never_doubts);
-    replay_version never_waits;
-    never_waits.name = "never waits";
-    never_waits.may_wait = false;
-    versions.push_back(never_waits);
-    replay_version no_trials;
-    no_trials.name = "no trials";
-    no_trials.makes_trials = false;
-    versions.push_back(no_trials);
+    const auto add = [&versions](const char* name, const auto& change) {
+        replay_version made;
+        made.name = name;
+        change(made);
+        versions.push_back(made);
+    };
+    add("no conditions", [](auto& made) { made.knowledge = owner_knowledge::none; });
+    add("no news", [](auto& made) { made.knowledge = owner_knowledge::told; });
+    add("current news", [](auto& made) { made.knowledge = owner_knowledge::current; });
+    add("clairvoyant", [](auto& made) { made.knowledge = owner_knowledge::clairvoyant; });
+    add("no pressure", [](auto& made) { made.heeds_pressure = false; });
+    add("takes any risk", [](auto& made) { made.policy.greatest_doubt = certain; });
+    add("refuses doubt", [](auto& made) { made.policy.greatest_doubt = 0.4; });
+    add("no belief",
+        [](auto& made) { made.policy.failures.memory = std::chrono::milliseconds(1); });
+    add("never waits", [](auto& made) { made.may_wait = false; });
+    add("long waits", [](auto& made) { made.policy.standing_queue_time = std::chrono::hours(1); });
     return versions;
 }
 
--- a/src/experiment/relay_replay.h
+++ b/src/experiment/relay_replay.h
@@ -17,12 +17,22 @@
 
 namespace galenaroad {
 
+/// What an entry knows of an owner when it chooses among them.
+enum class owner_knowledge {
+    none,        ///< Nothing.
+    told,        ///< What the owner told this entry with its answers.
+    shared,      ///< What the owner told any entry of the same data centre.
+    current,     ///< What the owner knows itself at that moment.
+    clairvoyant, ///< Whether the upstream fails, which nobody can know.
+};
+
 /// How a replay decides; the product's way and what it is compared with.
 struct replay_version {
     std::string name = "product";
-    owner_policy policy;      ///< How owners judge their upstreams.
-    bool may_wait = true;     ///< Requests wait at owners; otherwise a full owner refuses them.
-    bool makes_trials = true; ///< Requests that may run twice try upstreams in doubt.
+    owner_policy policy;        ///< How owners judge their upstreams.
+    bool may_wait = true;       ///< Requests wait at owners; otherwise a full owner refuses them.
+    bool heeds_pressure = true; ///< Requests take risks while many are not served.
+    owner_knowledge knowledge = owner_knowledge::shared;
 };
 
 /// Model of a fleet over the decisions of src/relay: backend servers with slots, noise and faults,
@@ -54,11 +64,14 @@
     void schedule_arrivals(std::size_t kind);
     void begin(std::size_t kind, std::size_t entry, steady_time deadline, end_hook on_end);
     void try_next(const request_ptr& asked);
+    void learn_conditions(const request_ptr& asked);
+    void note_condition(std::size_t entry, const replay_server& of, owner_condition condition);
     relay_order order_for(const request_ptr& asked) const;
     void arrive(const job_ptr& made, const relay_order& order);
     void wait_in_line(const job_ptr& made, const relay_order& order);
     void run_job(const job_ptr& made);
     void work(const job_ptr& made);
+    void make_calls(const job_ptr& made, int calls, std::chrono::nanoseconds left);
     void finish(const job_ptr& made, run_outcome outcome);
     void run_waiting(replay_server& at);
     job_ptr take_waiting(std::size_t server, std::uint64_t ticket);
@@ -68,6 +81,7 @@
     void on_attempt_ended(const request_ptr& asked);
     void on_slow(const request_ptr& asked, int attempt);
     void end(const request_ptr& asked, const char* how);
+    void note_end(const request& asked, bool is_served);
     void count(const request& asked, const std::string& how);
     bool may_repeat(const request& asked, int attempts) const;
     bool has_free_slot(std::size_t service) const;
--- a/src/experiment/replay_scenario.cpp
+++ b/src/experiment/replay_scenario.cpp
@@ -83,6 +83,7 @@
     kind.answer_bytes = node["answer_bytes"].as<double>();
     kind.calls = node["calls"].as<std::string>("");
     kind.call_share = node["call_share"].as<double>(0);
+    kind.call_count = node["call_count"].as<int>(1);
     return kind;
 }
 
--- a/src/experiment/replay_scenario.h
+++ b/src/experiment/replay_scenario.h
@@ -31,7 +31,8 @@
     double late_worth = 0; ///< Credit of a later one.
     double answer_bytes = 0;
     std::string calls;     ///< Kind that its upstream calls while it works; empty for none.
-    double call_share = 0; ///< Part of the requests that make this call.
+    double call_share = 0; ///< Part of the requests that make these calls.
+    int call_count = 1;    ///< Calls that such a request makes, one after the other.
 };
 
 /// Upstreams of a service that differ from the others for some time.
--- /dev/null
+++ b/src/relay/condition_message.cpp
@@ -0,0 +1,101 @@
+#include "relay/condition_message.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace galenaroad {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr double percent = 100;
+constexpr int max_load_percent = 1'000'000;
+constexpr std::int64_t max_age_ms = 60'000;
+constexpr std::size_t item_fields = 5;
+constexpr std::size_t message_fields = 3;
+// Ends of requests are told in tenths, since they fade.
+constexpr double ends_scale = 10;
+constexpr std::int64_t max_ends = 10'000'000;
+
+json item_to_json(const condition_item& item)
+{
+    return json::array({item.owner, std::lround(item.condition.failing * percent),
+                        std::lround(item.condition.load * percent), item.age.count(),
+                        item.condition.takes_work});
+}
+
+bool is_number_up_to(const json& value, std::int64_t greatest)
+{
+    return value.is_number_unsigned() &&
+           value.get<std::uint64_t>() <= static_cast<std::uint64_t>(greatest);
+}
+
+std::optional<condition_item> item_from_json(const json& value)
+{
+    if (!value.is_array() || value.size() != item_fields || !value[0].is_string() ||
+        !is_number_up_to(value[1], static_cast<std::int64_t>(percent)) ||
+        !is_number_up_to(value[2], max_load_percent) || !is_number_up_to(value[3], max_age_ms) ||
+        !value[4].is_boolean()) {
+        return {};
+    }
+    condition_item item;
+    item.owner = value[0].get<std::string>();
+    item.condition.failing = value[1].get<int>() / percent;
+    item.condition.load = value[2].get<int>() / percent;
+    item.condition.takes_work = value[4].get<bool>();
+    item.age = std::chrono::milliseconds(value[3].get<std::int64_t>());
+    return item;
+}
+
+// An impossible length throws in this library although exceptions are switched off.
+json parse(std::string_view bytes)
+{
+    constexpr bool is_strict = true;
+    constexpr bool throws = false;
+    try {
+        return json::from_cbor(bytes.begin(), bytes.end(), is_strict, throws);
+    }
+    catch (const json::exception&) {
+        return json(json::value_t::discarded);
+    }
+}
+
+} // namespace
+
+std::string condition_message::encode(const condition_report& report)
+{
+    auto list = json::array();
+    for (const auto& item : report.items) {
+        list.push_back(item_to_json(item));
+    }
+    const auto message =
+        json::array({std::lround(report.ends.all * ends_scale),
+                     std::lround(report.ends.unserved * ends_scale), std::move(list)});
+    std::string bytes;
+    json::to_cbor(message, bytes);
+    return bytes;
+}
+
+std::optional<condition_report> condition_message::decode(std::string_view bytes)
+{
+    const auto message = parse(bytes);
+    if (!message.is_array() || message.size() != message_fields ||
+        !is_number_up_to(message[0], max_ends) || !is_number_up_to(message[1], max_ends) ||
+        !message[2].is_array() || message[2].size() > condition_news::max_items) {
+        return {};
+    }
+    condition_report report;
+    report.ends = {message[0].get<double>() / ends_scale, message[1].get<double>() / ends_scale};
+    for (const auto& value : message[2]) {
+        auto item = item_from_json(value);
+        if (!item) {
+            return {};
+        }
+        report.items.push_back(std::move(*item));
+    }
+    return report;
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/relay/condition_news.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "base/clock.h"
+#include "relay/owner_ranking.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// What an owner told, as one daemon passes it on to another.
+struct condition_item {
+    std::string owner; ///< Its address.
+    owner_condition condition;
+    std::chrono::milliseconds age{0}; ///< Time since the owner told it.
+};
+
+/// Decides which conditions of owners a daemon tells to the daemons of its data centre.
+///
+/// Answers the load where each daemon makes few requests and so meets a failing or full upstream
+/// that its neighbours have just met: together they learn of each owner many times as often.
+/// Everything told is repeated a few times, as the messages may be lost and reach few daemons each.
+class condition_news {
+public:
+    /// Conditions in one message; it fits into one packet.
+    static constexpr std::size_t max_items = 24;
+
+    /// Takes a condition.
+    /// @param owner the owner's address.
+    /// @param condition what it told.
+    /// @param told_at when it told that.
+    /// @return false when it is not newer than what is known.
+    bool note(const std::string& owner, const owner_condition& condition, steady_time told_at);
+
+    /// Takes the conditions to tell next, the newest first.
+    /// @param now the current time.
+    /// @return at most max_items; empty when there is nothing to tell.
+    std::vector<condition_item> take(steady_time now);
+
+private:
+    struct entry {
+        owner_condition condition;
+        steady_time told_at;
+        int repeats_left = 0;
+    };
+
+    void forget_old(steady_time now);
+
+    std::map<std::string, entry> m_owners;
+};
+
+} // namespace galenaroad
--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -108,7 +108,7 @@
         give_up();
         return;
     }
-    const auto* const owner = m_search.next(m_context.now());
+    const auto* const owner = m_search.next(may_repeat(), m_context.now());
     if (owner == nullptr) {
         give_up();
         return;
@@ -182,7 +182,7 @@
     order.plan_version = m_plan->plan().version;
     order.goal_remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(m_goal - m_context.now());
-    order.tolerance = m_search.tolerance(may_repeat());
+    order.may_wait = m_search.stage() == search_stage::waiting;
     return order;
 }
 
@@ -267,7 +267,7 @@
 
 void entry_exchange::on_owner_refused()
 {
-    m_search.note_refusal(m_current->owner(), m_current->report());
+    m_search.note_refusal(m_current->owner(), m_current->report(), m_context.now());
     if (m_current->report().reason == owner_reason::expired) {
         // It has waited as long as was useful; another owner would not serve it in time.
         give_up();
@@ -354,6 +354,7 @@
 
 void entry_exchange::on_client_gone()
 {
+    m_client_is_gone = true;
     note_answered(0, "client_left");
 }
 
@@ -448,6 +449,9 @@
     if (is_from_own_instance() && (status == 0 || status >= HTTPResponse::HTTP_BAD_REQUEST)) {
         m_context.local_failure_at = m_context.now();
     }
+    if (m_route != nullptr && !m_client_is_gone) {
+        m_context.ranking.pressure().note(is_success(status), m_context.now());
+    }
     m_context.metrics.note_answer(m_service, status, elapsed);
     const auto elapsed_ms = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
     m_context.log.note(
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -94,6 +94,7 @@
     int m_attempts = 0;                    ///< Upstreams to which the request was sent.
     bool m_has_grant = false;              ///< The next attempt needs no allowance.
     bool m_is_waiting_for_earlier = false; ///< The current attempt has ended without success.
+    bool m_client_is_gone = false;
     bool m_ended = false;
     event_loop::timer_id m_deadline_timer = event_loop::no_timer;
     event_loop::timer_id m_attempt_timer = event_loop::no_timer;
--- a/src/relay/owned_upstream.cpp
+++ b/src/relay/owned_upstream.cpp
@@ -44,7 +44,6 @@
     if (change == lifecycle_change::joined && is_new_start) {
         m_belief = failure_belief(m_policy.failures);
         m_rejecting = failure_belief(m_policy.failures);
-        m_failures_in_row = 0;
         m_avoided_until = {};
     }
     return change;
@@ -62,11 +61,9 @@
     if (reason != owner_reason::none) {
         return refused(reason);
     }
-    const bool is_trial = is_in_doubt() && may_try(order);
     const bool is_repeated = order.attempt > 1 && !order.is_granted;
-    // A trial pays for the attempt after its failure in advance.
-    if ((is_trial || is_repeated) && !grant_attempt()) {
-        return refused(is_trial ? owner_reason::in_doubt : owner_reason::no_allowance);
+    if (is_repeated && !grant_attempt()) {
+        return refused(owner_reason::no_allowance);
     }
     const auto now = m_clock.steady_now();
     slot_request wanted;
@@ -74,20 +71,16 @@
     wanted.priority = order.priority;
     wanted.deadline = now + wait_limit(order);
     wanted.service_time = expected_service(order.route);
-    wanted.may_wait = order.tolerance == doubt_tolerance::waiting ||
-                      order.tolerance == doubt_tolerance::forced ||
-                      m_slots.expected_wait() <= order.goal_remaining * short_wait_part;
+    wanted.may_wait =
+        order.may_wait || m_slots.expected_wait() <= order.goal_remaining * short_wait_part;
     const auto verdict = m_slots.ask(wanted, now);
     if (verdict == slot_verdict::refuse) {
         return refused(owner_reason::busy);
     }
-    if (is_trial) {
-        m_trial_ticket = wanted.ticket;
-    }
     if (order.attempt == 1) {
         m_allowance.note_first(owners, now);
     }
-    return {verdict, owner_reason::none, 0ms, wanted.ticket, is_trial};
+    return {verdict, owner_reason::none, 0ms, wanted.ticket};
 }
 
 // The entry daemon names a service only: after a restart of everything it still knows the former
@@ -117,8 +110,10 @@
     if (m_avoided_until > m_clock.steady_now()) {
         return owner_reason::unreachable;
     }
-    const bool is_doubtful = is_too_doubtful(order) && !may_try(order);
-    return is_doubtful ? owner_reason::in_doubt : owner_reason::none;
+    const bool can_follow = is_idempotent(order.kind) && order.may_repeat;
+    const bool is_too_doubtful =
+        !can_follow && m_belief.failing(m_clock.steady_now()) > m_policy.greatest_doubt;
+    return is_too_doubtful ? owner_reason::in_doubt : owner_reason::none;
 }
 
 std::chrono::milliseconds owned_upstream::wait_limit(const relay_order& order) const
@@ -133,46 +128,6 @@
     return std::min(std::max(order.goal_remaining, useful), order.remaining);
 }
 
-// A failing upstream often answers at once and so always has a free slot: without a pause between
-// trials it would attract all requests that may try it.
-bool owned_upstream::may_try(const relay_order& order) const
-{
-    const bool may_wait = order.tolerance == doubt_tolerance::waiting;
-    const bool is_willing = order.tolerance == doubt_tolerance::trial ||
-                            (may_wait && is_idempotent(order.kind) && order.may_repeat);
-    const auto interval = may_wait ? m_policy.busy_trial_interval : trial_interval();
-    return is_willing && m_trial_ticket == 0 && m_clock.steady_now() - m_last_failure >= interval;
-}
-
-std::chrono::milliseconds owned_upstream::trial_interval() const
-{
-    constexpr int max_doublings = 10;
-    const int doublings = std::clamp(m_failures_in_row - 1, 0, max_doublings);
-    return std::min(m_policy.trial_interval * (1 << doublings), m_policy.longest_trial_interval);
-}
-
-bool owned_upstream::is_in_doubt() const
-{
-    const auto now = m_clock.steady_now();
-    return m_belief.failing(now) > m_policy.careful_doubt ||
-           m_rejecting.failing(now) > m_policy.careful_doubt;
-}
-
-bool owned_upstream::is_too_doubtful(const relay_order& order) const
-{
-    const auto failing = m_belief.failing(m_clock.steady_now());
-    switch (order.tolerance) {
-    case doubt_tolerance::careful:
-    case doubt_tolerance::trial:
-        return is_in_doubt();
-    case doubt_tolerance::waiting:
-        return failing > m_policy.waiting_doubt;
-    case doubt_tolerance::forced:
-        break;
-    }
-    return failing > m_policy.forced_doubt;
-}
-
 owner_decision owned_upstream::refused(owner_reason reason) const
 {
     const auto wait =
@@ -182,34 +137,23 @@
 
 bool owned_upstream::withdraw(std::uint64_t ticket)
 {
-    if (ticket == m_trial_ticket) {
-        m_trial_ticket = 0;
-        m_allowance.give_back(m_owners);
-    }
     return m_slots.withdraw(ticket);
 }
 
-void owned_upstream::finish(std::uint64_t ticket, const std::string& route,
-                            std::chrono::nanoseconds served, run_outcome outcome)
+void owned_upstream::finish(const std::string& route, std::chrono::nanoseconds served,
+                            run_outcome outcome)
 {
-    if (ticket == m_trial_ticket) {
-        m_trial_ticket = 0;
-        if (outcome == run_outcome::success) {
-            m_allowance.give_back(m_owners);
-        }
-    }
     m_slots.release();
     if (outcome == run_outcome::rejection) {
         m_rejecting.note_failure(m_clock.steady_now());
     }
     if (outcome == run_outcome::success) {
         note_service(route, served);
-        m_failures_in_row = 0;
         m_rejecting.note_success(m_clock.steady_now());
         m_belief.note_success(m_clock.steady_now());
     }
     if (outcome == run_outcome::failure) {
-        note_failure();
+        m_belief.note_failure(m_clock.steady_now());
     }
 }
 
@@ -226,16 +170,9 @@
     }
 }
 
-void owned_upstream::note_failure()
-{
-    m_last_failure = m_clock.steady_now();
-    ++m_failures_in_row;
-    m_belief.note_failure(m_last_failure);
-}
-
 void owned_upstream::note_overdue()
 {
-    note_failure();
+    m_belief.note_failure(m_clock.steady_now());
 }
 
 void owned_upstream::note_unreachable()
--- a/src/relay/owned_upstream.h
+++ b/src/relay/owned_upstream.h
@@ -15,22 +15,14 @@
 
 /// How an owner judges its upstream.
 ///
-/// Answers three loads. On a calm day, avoiding a failing upstream costs nothing, so that doubt
-/// lasts for seconds and trials are rare. While requests wait for slots, capacity that is avoided
-/// is missing, so that doubtful upstreams are tried soon and used at a greater risk. A burst is
-/// served by long waits; a lasting overload is served in time by short ones only.
+/// Answers three loads. Entries know which upstreams most likely fail and ask others while they
+/// can, so what still comes here in a shortage is better tried than refused. A burst is served by
+/// long waits; a lasting overload is served in time by short ones only.
 struct owner_policy {
     failure_model failures;
-    /// Probability of failing above which a request is sent elsewhere while it can be.
-    double careful_doubt = 0.4;
-    /// The same once the upstreams without doubt are full; a response is then less likely than not.
-    double waiting_doubt = 0.75;
-    /// The same once nothing else is left; above it, a request is better refused than failed.
-    double forced_doubt = 0.75;
-    std::chrono::milliseconds trial_interval{600};
-    std::chrono::milliseconds longest_trial_interval{4000};
-    /// The same while requests wait for slots.
-    std::chrono::milliseconds busy_trial_interval{600};
+    /// Probability of failing above which a request that cannot be sent again is better refused
+    /// than failed.
+    double greatest_doubt = 0.9;
     /// Part of the time until its deadline in which a response is worth waiting for, and the
     /// longest such wait. Both hold for requests whose goal is shorter.
     double useful_part_of_remaining = 0.6;
@@ -47,8 +39,6 @@
     owner_reason reason = owner_reason::none; ///< When refused.
     std::chrono::milliseconds retry_after{0}; ///< When refused.
     std::uint64_t ticket = 0;                 ///< When it runs or waits.
-    /// The request is a trial: when it fails, its next attempt needs no allowance.
-    bool is_trial = false;
 };
 
 /// How a request at the owned upstream ended.
@@ -113,12 +103,10 @@
     bool withdraw(std::uint64_t ticket);
 
     /// Notes the end of a request that held a slot.
-    /// @param ticket the request.
     /// @param route the request's route.
     /// @param served how long it held the slot.
     /// @param outcome how it ended.
-    void finish(std::uint64_t ticket, const std::string& route, std::chrono::nanoseconds served,
-                run_outcome outcome);
+    void finish(const std::string& route, std::chrono::nanoseconds served, run_outcome outcome);
 
     /// Notes that a running request takes far longer than usual, as when the upstream hangs.
     void note_overdue();
@@ -130,6 +118,9 @@
     /// @return the ticket of the next request that runs, or nothing.
     std::optional<std::uint64_t> next() { return m_slots.next(); }
 
+    /// @return false while all requests are refused.
+    bool takes_work() const { return !m_is_stopping && m_lifecycle.serving() != nullptr; }
+
     /// @return probability that the upstream fails or rejects a request, in percent.
     int failing_percent() const;
 
@@ -153,12 +144,7 @@
 
 private:
     owner_reason refusal_of(const relay_order& order) const;
-    bool is_in_doubt() const;
-    bool may_try(const relay_order& order) const;
-    std::chrono::milliseconds trial_interval() const;
-    void note_failure();
     void note_service(const std::string& route, std::chrono::nanoseconds served);
-    bool is_too_doubtful(const relay_order& order) const;
     owner_decision refused(owner_reason reason) const;
 
     const clock& m_clock;
@@ -170,10 +156,7 @@
     failure_belief m_rejecting; ///< Rejections cost an attempt but do no harm.
     retry_allowance m_allowance;
     std::uint64_t m_last_ticket = 0;
-    std::uint64_t m_trial_ticket = 0; ///< Request that tries the upstream while it is in doubt.
-    int m_owners = 1;                 ///< Of the service, as last told.
-    steady_time m_last_failure;
-    int m_failures_in_row = 0;
+    int m_owners = 1; ///< Of the service, as last told.
     steady_time m_avoided_until;
     bool m_is_stopping = false;
 };
--- a/src/relay/owner_call.cpp
+++ b/src/relay/owner_call.cpp
@@ -151,9 +151,9 @@
     }
     m_report = *report;
     constexpr double percent = 100;
-    m_context.ranking.note_condition(
-        owner(), {report->failing_percent / percent, report->load_percent / percent},
-        m_context.now());
+    const owner_condition condition{report->failing_percent / percent,
+                                    report->load_percent / percent, takes_work(*report)};
+    m_context.heard_condition(owner(), condition);
     m_context.owner_tokens[owner()] = report->token;
     m_context.heard_plan(report->plan_version, owner());
 }
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -66,7 +66,6 @@
     }
     const auto decision = m_context.owned.ask(m_order, owners_of(m_context, m_order.service));
     m_ticket = decision.ticket;
-    m_grants_attempt = decision.is_trial;
     if (decision.verdict == slot_verdict::refuse) {
         answer_not_run(decision.reason, decision.retry_after);
         return;
@@ -432,7 +431,7 @@
     }
     m_has_slot = false;
     const auto served = m_context.now() - m_sent_at;
-    m_context.owned.finish(m_ticket, m_order.route, served, outcome);
+    m_context.owned.finish(m_order.route, served, outcome);
     m_context.metrics.note_run(outcome == run_outcome::success ? "success" : "no_success", served);
 }
 
@@ -482,6 +481,7 @@
                                m_client->received_at())},
          {"expected_service_ms", ms_text(m_context.owned.expected_service(m_order.route))},
          {"elapsed_ms", ms_text(m_context.now() - m_client->received_at())}});
+    m_context.heard_condition(m_context.location.address, owner_reply::condition(m_context));
     m_on_end(*this);
     m_context.run_waiting();
 }
--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -14,11 +14,22 @@
 constexpr double default_failing = 0.2;
 // An owner that has told nothing yet is asked soon: its upstream may have joined just now.
 constexpr double untried_failing = 0.1;
+// A request that can be sent again loses time and a further attempt only.
+constexpr double repeated_failure_cost = 0.3;
+// Time after which a used up retry budget has attempts again.
+constexpr auto budget_recovery_time = 1s;
+// What was known of an owner of this data centre is out of date after this time: a request that can
+// be sent again finds out, so that no sound upstream is left without work.
+constexpr auto overdue_age = 700ms;
+constexpr double overdue_priority = 1;
+constexpr double doubtful = 0.4;
 constexpr double load_cost = 0.15;
 // Time after which what an owner told says little: upstreams start and stop failing within it.
 constexpr auto condition_memory = 2s;
 // For this long an owner is taken to answer as it has just told.
 constexpr auto condition_validity = 600ms;
+// A daemon that stops may be back, and its upstream sound, after this time.
+constexpr auto leaving_validity = 1500ms;
 // Price of a megabyte between data centres against that of a failed request.
 constexpr double data_centre_cost_per_mb = 15;
 constexpr double region_cost_per_mb = 20;
@@ -39,20 +50,17 @@
 {
 }
 
-const owner_record* owner_ranking::choose(const owner_directory& directory,
-                                          const std::string& service,
-                                          const std::set<std::string>& excluded,
-                                          double payload_bytes, condition_limits skips,
+const owner_record* owner_ranking::choose(const owner_directory& directory, const owner_wish& wish,
                                           steady_time now)
 {
     const owner_record* best = nullptr;
     double best_cost = 0;
-    for (const auto* const record : directory.ready_for(service)) {
-        if (excluded.count(record->address) > 0 || !is_reachable(record->address, now) ||
-            would_refuse(record->address, skips, now)) {
+    for (const auto* const record : directory.ready_for(wish.service)) {
+        if (wish.excluded.count(record->address) > 0 || !is_reachable(record->address, now) ||
+            would_refuse(record->address, wish.skips, now)) {
             continue;
         }
-        const double each = cost(*record, payload_bytes, now);
+        const double each = cost(*record, wish, now);
         if (best == nullptr || each < best_cost) {
             best = record;
             best_cost = each;
@@ -64,14 +72,24 @@
 void owner_ranking::note_condition(const std::string& address, const owner_condition& condition,
                                    steady_time now)
 {
+    note_news(address, condition, now);
     auto& view = m_views[address];
-    view.condition = condition;
-    view.told_at = now;
-    view.was_told = true;
     view.failed_connections = 0;
     view.avoided_until = {};
 }
 
+void owner_ranking::note_news(const std::string& address, const owner_condition& condition,
+                              steady_time told_at)
+{
+    auto& view = m_views[address];
+    if (view.was_told && view.told_at > told_at) {
+        return;
+    }
+    view.condition = condition;
+    view.told_at = told_at;
+    view.was_told = true;
+}
+
 void owner_ranking::note_unreachable(const std::string& address, steady_time now)
 {
     auto& view = m_views[address];
@@ -84,7 +102,12 @@
 bool owner_ranking::is_reachable(const std::string& address, steady_time now) const
 {
     const auto found = m_views.find(address);
-    return found == m_views.end() || found->second.avoided_until <= now;
+    if (found == m_views.end()) {
+        return true;
+    }
+    const auto& view = found->second;
+    const bool takes_work = view.condition.takes_work || now - view.told_at > leaving_validity;
+    return takes_work && view.avoided_until <= now;
 }
 
 bool owner_ranking::would_refuse(const std::string& address, condition_limits limits,
@@ -99,20 +122,43 @@
     return told.failing > limits.failing || told.load >= limits.load;
 }
 
-double owner_ranking::cost(const owner_record& record, double payload_bytes, steady_time now)
+double owner_ranking::cost(const owner_record& record, const owner_wish& wish, steady_time now)
 {
     std::uniform_real_distribution<double> scatter(0, random_cost);
-    double total = way_cost(record, payload_bytes) + scatter(m_random);
+    const double way = way_cost(record, wish.payload_bytes) + scatter(m_random);
+    const double failure = failure_cost(wish, now);
     const auto found = m_views.find(record.address);
     if (found == m_views.end() || !found->second.was_told) {
-        return total + untried_failing;
+        return way + untried_failing * failure;
     }
     const auto& view = found->second;
+    if (wish.may_repeat && is_overdue(record, view, now)) {
+        const bool is_doubtful = view.condition.failing > doubtful;
+        return is_doubtful ? way - overdue_priority : way;
+    }
     const std::chrono::duration<double> age = now - view.told_at;
     const std::chrono::duration<double> memory = condition_memory;
     const double kept = std::exp(-age.count() / memory.count());
-    total += default_failing + (view.condition.failing - default_failing) * kept;
-    return total + load_cost * view.condition.load * kept;
+    const double failing = default_failing + (view.condition.failing - default_failing) * kept;
+    return way + failing * failure + load_cost * view.condition.load * kept;
+}
+
+// One that was doubtful is tried only under pressure.
+bool owner_ranking::is_overdue(const owner_record& record, const owner_view& view,
+                               steady_time now) const
+{
+    const bool is_near = record.data_centre == m_location.data_centre;
+    const bool is_old = now - view.told_at > overdue_age;
+    return is_near && is_old && (view.condition.failing <= doubtful || m_pressure.is_high(now));
+}
+
+// A request that can be sent again risks less, as long as the retry budget has a further attempt.
+double owner_ranking::failure_cost(const owner_wish& wish, steady_time now) const
+{
+    const bool has_budget =
+        !m_budget_used_up_at || now - *m_budget_used_up_at > budget_recovery_time;
+    const bool takes_risks = wish.may_repeat && has_budget && m_pressure.is_high(now);
+    return takes_risks ? repeated_failure_cost : 1;
 }
 
 double owner_ranking::way_cost(const owner_record& record, double payload_bytes) const
--- a/src/relay/owner_ranking.h
+++ b/src/relay/owner_ranking.h
@@ -3,8 +3,10 @@
 #include "base/clock.h"
 #include "base/random_engine.h"
 #include "fleet/owner_directory.h"
+#include "relay/service_pressure.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -21,6 +23,8 @@
 struct owner_condition {
     double failing = 0; ///< Probability that the upstream is failing.
     double load = 0;    ///< Running and waiting requests in relation to its slots.
+    /// False while the owner refuses all requests, since it or its upstream is leaving.
+    bool takes_work = true;
 };
 
 /// Conditions beyond which an owner refuses a request.
@@ -29,6 +33,15 @@
     double load = 1e9;  ///< Load from which no slot is free.
 };
 
+/// What a request needs of the owner that is chosen for it.
+struct owner_wish {
+    std::string service;
+    std::set<std::string> excluded; ///< Owners that were tried.
+    double payload_bytes = 0;       ///< Size of its body and expected size of its answer.
+    condition_limits skips;         ///< Conditions that make an owner not worth asking.
+    bool may_repeat = false;        ///< Another attempt can follow a failure.
+};
+
 /// Chooses the owner to which a request is sent next.
 ///
 /// Answers the load where a near upstream is failing or full while a farther one is not: the
@@ -41,15 +54,11 @@
 
     /// Chooses an owner.
     /// @param directory the known owners.
-    /// @param service the service of the request.
-    /// @param excluded owners that were tried.
-    /// @param payload_bytes size of the request's body and expected size of the answer.
-    /// @param skips which conditions make an owner not worth asking.
+    /// @param wish what the request needs.
     /// @param now the current time.
     /// @return the owner's record, or null when none is left.
-    const owner_record* choose(const owner_directory& directory, const std::string& service,
-                               const std::set<std::string>& excluded, double payload_bytes,
-                               condition_limits skips, steady_time now);
+    const owner_record* choose(const owner_directory& directory, const owner_wish& wish,
+                               steady_time now);
 
     /// @return true when an owner that is worth asking by other limits has just told that it would
     /// refuse by these ones.
@@ -59,11 +68,22 @@
     void note_condition(const std::string& address, const owner_condition& condition,
                         steady_time now);
 
+    /// Notes what an owner told another daemon, which says nothing of the way to it from here.
+    /// @param told_at when it told that; older news than what is known is ignored.
+    void note_news(const std::string& address, const owner_condition& condition,
+                   steady_time told_at);
+
+    /// @return the pressure on this data centre, which requests are noted in.
+    service_pressure& pressure() { return m_pressure; }
+
+    /// Notes that an owner refused a further attempt for want of the fleet's retry budget.
+    void note_budget_used_up(steady_time now) { m_budget_used_up_at = now; }
+
     /// Notes that an owner could not be reached; it is avoided for a growing time.
     void note_unreachable(const std::string& address, steady_time now);
 
     /// @param address the owner's address.
-    /// @return false while the owner is avoided because it could not be reached.
+    /// @return false while the owner is avoided because it could not be reached, or is leaving.
     bool is_reachable(const std::string& address, steady_time now) const;
 
 private:
@@ -75,12 +95,16 @@
         int failed_connections = 0;
     };
 
-    double cost(const owner_record& record, double payload_bytes, steady_time now);
+    double cost(const owner_record& record, const owner_wish& wish, steady_time now);
+    bool is_overdue(const owner_record& record, const owner_view& view, steady_time now) const;
+    double failure_cost(const owner_wish& wish, steady_time now) const;
     double way_cost(const owner_record& record, double payload_bytes) const;
 
     daemon_location m_location;
     random_engine m_random;
     std::map<std::string, owner_view> m_views;
+    service_pressure m_pressure;
+    std::optional<steady_time> m_budget_used_up_at;
 };
 
 } // namespace galenaroad
--- a/src/relay/owner_reply.cpp
+++ b/src/relay/owner_reply.cpp
@@ -17,6 +17,13 @@
     return told;
 }
 
+owner_condition owner_reply::condition(const relay_context& context)
+{
+    constexpr double percent = 100;
+    return {context.owned.failing_percent() / percent, context.owned.load_percent() / percent,
+            context.owned.takes_work()};
+}
+
 http_response_head owner_reply::not_run(const relay_context& context, owner_reason reason,
                                         std::chrono::milliseconds retry_after)
 {
--- a/src/relay/owner_reply.h
+++ b/src/relay/owner_reply.h
@@ -9,6 +9,9 @@
 /// Composes what an owner tells entry daemons.
 class owner_reply {
 public:
+    /// @return the condition of the owned upstream, as peers are told.
+    static owner_condition condition(const relay_context& context);
+
     /// @param context state of the owner.
     /// @param result what became of the request.
     /// @param reason why, when it was refused or failed.
--- a/src/relay/owner_search.cpp
+++ b/src/relay/owner_search.cpp
@@ -8,7 +8,7 @@
 
 constexpr int max_refusals = 3;
 constexpr int max_busy_refusals = 2;
-constexpr int max_late_refusals = 2;
+constexpr int max_late_refusals = 3;
 // As owners refuse careful requests; a short queue still counts as free.
 constexpr condition_limits free_and_sound{0.4, 1.4};
 
@@ -30,25 +30,29 @@
     m_payload_bytes = payload_bytes;
 }
 
-const owner_record* owner_search::next(steady_time now)
+const owner_record* owner_search::next(bool may_repeat, steady_time now)
 {
-    const auto* owner = choose(now);
-    while (owner == nullptr && advance()) {
-        owner = choose(now);
+    const auto* const owner = choose(may_repeat, now);
+    if (owner != nullptr || m_stage == search_stage::waiting) {
+        return owner;
     }
-    return owner;
+    wait_for_slot();
+    return choose(may_repeat, now);
 }
 
-const owner_record* owner_search::choose(steady_time now) const
+const owner_record* owner_search::choose(bool may_repeat, steady_time now) const
 {
     if (has_asked_enough()) {
         return nullptr;
     }
-    auto excluded = m_excluded;
-    excluded.insert(m_refused.begin(), m_refused.end());
-    const bool is_choosing = m_stage == search_stage::choosing;
-    const auto skips = is_choosing ? free_and_sound : condition_limits{};
-    return m_ranking.choose(m_directory, m_service, excluded, m_payload_bytes, skips, now);
+    owner_wish wish;
+    wish.service = m_service;
+    wish.excluded = m_excluded;
+    wish.excluded.insert(m_refused.begin(), m_refused.end());
+    wish.payload_bytes = m_payload_bytes;
+    wish.skips = m_stage == search_stage::choosing ? free_and_sound : condition_limits{};
+    wish.may_repeat = may_repeat;
+    return m_ranking.choose(m_directory, wish, now);
 }
 
 bool owner_search::has_asked_enough() const
@@ -59,21 +63,21 @@
     return m_stage_refusals >= max_late_refusals;
 }
 
-bool owner_search::advance()
+// Owners that had no free slot may have a place to wait.
+void owner_search::wait_for_slot()
 {
-    if (m_stage == search_stage::forced) {
-        return false;
-    }
-    const bool was_choosing = m_stage == search_stage::choosing;
-    m_stage = was_choosing ? search_stage::waiting : search_stage::forced;
+    m_stage = search_stage::waiting;
     m_stage_refusals = 0;
     m_busy_refusals = 0;
     m_refused.clear();
-    return true;
 }
 
-void owner_search::note_refusal(const std::string& address, const owner_report& report)
+void owner_search::note_refusal(const std::string& address, const owner_report& report,
+                                steady_time now)
 {
+    if (report.reason == owner_reason::no_allowance) {
+        m_ranking.note_budget_used_up(now);
+    }
     ++m_refusals;
     ++m_stage_refusals;
     m_busy_refusals += report.reason == owner_reason::busy ? 1 : 0;
@@ -82,15 +86,4 @@
     (may_accept_later(report.reason) ? m_refused : m_excluded).insert(address);
 }
 
-doubt_tolerance owner_search::tolerance(bool may_repeat) const
-{
-    if (m_stage == search_stage::waiting) {
-        return doubt_tolerance::waiting;
-    }
-    if (m_stage == search_stage::forced) {
-        return doubt_tolerance::forced;
-    }
-    return may_repeat ? doubt_tolerance::trial : doubt_tolerance::careful;
-}
-
 } // namespace galenaroad
--- a/src/relay/owner_search.h
+++ b/src/relay/owner_search.h
@@ -12,8 +12,7 @@
 /// How far the search for an upstream has come.
 enum class search_stage {
     choosing, ///< Asks for a sound upstream with a free slot.
-    waiting,  ///< Waits for a slot at a sound upstream.
-    forced,   ///< Takes an upstream in doubt.
+    waiting,  ///< Waits for a slot.
 };
 
 /// Decides which owners one request is sent to, one after another, and when it is refused.
@@ -32,22 +31,20 @@
     void begin(const std::string& service, double payload_bytes);
 
     /// Chooses the next owner to ask.
+    /// @param may_repeat another attempt can follow the one at that owner.
     /// @param now the current time.
     /// @return its record, or null when the request has to be refused.
-    const owner_record* next(steady_time now);
+    const owner_record* next(bool may_repeat, steady_time now);
 
     /// Notes that an owner has refused the request, which has not run there.
     /// @param address the owner.
     /// @param report what it told.
-    void note_refusal(const std::string& address, const owner_report& report);
+    /// @param now the current time.
+    void note_refusal(const std::string& address, const owner_report& report, steady_time now);
 
     /// Excludes an owner from the rest of the search.
     void exclude(const std::string& address) { m_excluded.insert(address); }
 
-    /// @param may_repeat the request could be sent to another upstream after a failure.
-    /// @return the doubt that the next owner may accept.
-    doubt_tolerance tolerance(bool may_repeat) const;
-
     /// @return how far the search has come.
     search_stage stage() const { return m_stage; }
 
@@ -58,9 +55,9 @@
     std::chrono::milliseconds retry_after() const { return m_retry_after; }
 
 private:
-    const owner_record* choose(steady_time now) const;
+    const owner_record* choose(bool may_repeat, steady_time now) const;
     bool has_asked_enough() const;
-    bool advance();
+    void wait_for_slot();
 
     const owner_directory& m_directory;
     owner_ranking& m_ranking;
--- a/src/relay/relay_message.cpp
+++ b/src/relay/relay_message.cpp
@@ -106,7 +106,7 @@
     order.remaining = reader.next_time();
     order.goal_remaining = reader.next_time();
     order.kind = reader.next_enum(request_kind::upload);
-    order.tolerance = reader.next_enum(doubt_tolerance::forced);
+    order.may_wait = reader.next_flag();
     order.attempt = reader.next<int>();
     order.may_repeat = reader.next_flag();
     order.is_granted = reader.next_flag();
@@ -163,6 +163,12 @@
     return reason_names.at(static_cast<std::size_t>(reason));
 }
 
+bool takes_work(const owner_report& report)
+{
+    return report.reason != owner_reason::stopping && report.reason != owner_reason::draining &&
+           report.reason != owner_reason::unknown_upstream;
+}
+
 std::string relay_message::encode(const relay_order& order)
 {
     return message_writer()
@@ -174,7 +180,7 @@
         .add(order.remaining)
         .add(order.goal_remaining)
         .add_enum(order.kind)
-        .add_enum(order.tolerance)
+        .add(order.may_wait)
         .add(order.attempt)
         .add(order.may_repeat)
         .add(order.is_granted)
--- a/src/relay/relay_message.h
+++ b/src/relay/relay_message.h
@@ -10,14 +10,6 @@
 
 namespace galenaroad {
 
-/// How much doubt about its upstream an owner may accept for a request.
-enum class doubt_tolerance {
-    careful, ///< Refuse while the upstream may be failing or has no free slot.
-    trial,   ///< As careful, but one request at a time may try an upstream in doubt.
-    waiting, ///< Refuse while the upstream may be failing, wait for a slot otherwise.
-    forced,  ///< Wait for a slot, and refuse only an upstream that is almost surely failing.
-};
-
 /// What an entry daemon tells the owner with a request. Travels in one header field.
 struct relay_order {
     static constexpr const char* header = "Galenaroad-Order";
@@ -31,7 +23,7 @@
     /// Time in which the response is worth most; the request does not wait beyond it.
     std::chrono::milliseconds goal_remaining{0};
     request_kind kind = request_kind::at_most_once;
-    doubt_tolerance tolerance = doubt_tolerance::careful;
+    bool may_wait = false;   ///< It waits for a slot; otherwise it goes elsewhere.
     int attempt = 1;         ///< 1 for the first upstream that the request is sent to.
     bool may_repeat = false; ///< Another attempt may follow this one.
     /// The owner of the attempt before has granted this one from its part of the retry budget.
@@ -80,6 +72,9 @@
     bool grants_attempt = false;    ///< The request may be sent again without further allowance.
 };
 
+/// @return false when the owner refuses all requests for now.
+bool takes_work(const owner_report& report);
+
 /// Asks an owner for the answer of a request whose connection was lost. Travels in one header
 /// field. After it, a request that has not arrived yet is never run.
 struct answer_query {
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -53,6 +53,14 @@
         .Increment();
 }
 
+void relay_metrics::note_condition_message(const std::string& outcome)
+{
+    m_registry
+        .counter("galenaroad_condition_messages_total",
+                 "Messages about the conditions of owners between daemons.", {{"outcome", outcome}})
+        .Increment();
+}
+
 void relay_metrics::note_plan_faults(std::size_t count)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -37,6 +37,10 @@
     /// @param outcome `ok` or what went wrong.
     void note_store_call(const std::string& call, const std::string& outcome);
 
+    /// Notes a message with conditions of owners.
+    /// @param outcome `sent`, `received`, `unreadable` or `not_sent`.
+    void note_condition_message(const std::string& outcome);
+
     /// Notes the number of faults of the plan in force.
     void note_plan_faults(std::size_t count);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/unix_time.h"
 #include "relay/answer_query_handler.h"
+#include "relay/owner_reply.h"
 #include "relay/peer_state.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -104,8 +105,12 @@
                 [this](std::uint64_t version, const std::string& address) {
                     m_sync.heard_plan(version, address);
                 },
+                [this](const auto& address, const auto& condition) {
+                    take_condition(address, condition);
+                },
                 [this] { run_waiting(); }},
       m_sync(m_context, make_sync_hooks(), random_engine(random())),
+      m_conditions(m_context, random_engine(random())),
       m_entry_server(m_parts.loop, limits_for({}, m_settings),
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_parts.loop, peer_limits(m_settings),
@@ -137,6 +142,7 @@
     const auto& listen = m_settings.listen_address;
     m_peer_server.listen(listen.empty() ? m_settings.location.address : listen);
     m_entry_server.listen(m_settings.entry_address);
+    m_conditions.start(listen.empty() ? m_settings.location.address : listen);
     follow_store();
     m_sync.start();
     m_parts.log.note_state(
@@ -390,6 +396,12 @@
     answer_query_handler::handle(m_context, client, *query);
 }
 
+void relay_node::take_condition(const std::string& address, const owner_condition& condition)
+{
+    m_context.ranking.note_condition(address, condition, m_context.now());
+    m_conditions.note(address, condition);
+}
+
 void relay_node::refuse_hopeless()
 {
     for (const auto ticket : m_context.owned.take_hopeless()) {
@@ -409,7 +421,7 @@
             request->run();
         }
         else {
-            m_context.owned.finish(*ticket, {}, 0ms, run_outcome::inconclusive);
+            m_context.owned.finish({}, 0ms, run_outcome::inconclusive);
         }
     }
 }
@@ -423,6 +435,7 @@
     m_on_stopped = std::move(on_stopped);
     m_stopping_since = m_context.now();
     m_context.owned.stop();
+    take_condition(m_settings.location.address, owner_reply::condition(m_context));
     m_parts.loop.after(closing_delay, [this] { m_entry_server.start_closing(); });
     // Until then clients have not been told to go elsewhere, and their requests are served as far
     // as time allows.
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleet_store.h"
 #include "net/http_server.h"
+#include "relay/condition_exchange.h"
 #include "relay/entry_exchange.h"
 #include "relay/owner_exchange.h"
 #include "relay/peer_sync.h"
@@ -101,6 +102,7 @@
     void accept_client(std::shared_ptr<server_exchange> client);
     void accept_peer(std::shared_ptr<server_exchange> client);
     void take_query(const std::shared_ptr<server_exchange>& client, std::string_view text);
+    void take_condition(const std::string& address, const owner_condition& condition);
     void refuse_hopeless();
     void run_waiting();
     void check_stopped();
@@ -113,6 +115,7 @@
     http_client m_upstream_client;
     relay_context m_context;
     peer_sync m_sync;
+    condition_exchange m_conditions;
     http_server m_entry_server;
     http_server m_peer_server;
     plan_document m_document;
--- a/src/relay/retry_allowance.cpp
+++ b/src/relay/retry_allowance.cpp
@@ -34,11 +34,6 @@
     return true;
 }
 
-void retry_allowance::give_back(int owners)
-{
-    m_tokens = std::min(m_tokens + 1, capacity(owners));
-}
-
 void retry_allowance::refill(int owners, steady_time now)
 {
     if (m_is_full) {
--- a/src/relay/retry_allowance.h
+++ b/src/relay/retry_allowance.h
@@ -32,10 +32,6 @@
     /// @return false when it would exceed this owner's part.
     bool take(int owners, steady_time now);
 
-    /// Returns an allowance that was not needed.
-    /// @param owners number of owners of the service.
-    void give_back(int owners);
-
 private:
     void refill(int owners, steady_time now);
     double capacity(int owners) const;
--- /dev/null
+++ b/src/tests/condition_message_test.cpp
@@ -0,0 +1,58 @@
+#include "relay/condition_message.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+condition_report full_message()
+{
+    condition_report report;
+    report.ends = {20.5, 2.5};
+    for (std::size_t each = 0; each < condition_news::max_items; ++each) {
+        report.items.push_back({"255.255.255.255:65535", {0.99, 12.5, false}, 1999ms});
+    }
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("condition_message: conditions arrive as they were sent", "[relay]")
+{
+    // Guards against fields that are lost or swapped, and against messages longer than a packet.
+    const auto bytes = condition_message::encode(full_message());
+    CHECK(bytes.size() <= condition_message::max_bytes);
+    const auto read = condition_message::decode(bytes);
+    REQUIRE(read);
+    REQUIRE(read->items.size() == condition_news::max_items);
+    CHECK(read->ends.all == Approx(20.5));
+    CHECK(read->ends.unserved == Approx(2.5));
+    CHECK(read->items.front().owner == "255.255.255.255:65535");
+    CHECK(read->items.front().condition.failing == Approx(0.99));
+    CHECK(read->items.front().condition.load == Approx(12.5));
+    CHECK_FALSE(read->items.front().condition.takes_work);
+    CHECK(read->items.front().age == 1999ms);
+}
+
+TEST_CASE("condition_message: other bytes are no message", "[relay]")
+{
+    // Guards against a daemon that ends or takes nonsense when anything is sent to its port.
+    CHECK_FALSE(condition_message::decode(""));
+    CHECK_FALSE(condition_message::decode("GET / HTTP/1.1\r\n\r\n"));
+    const auto bytes = condition_message::encode(full_message());
+    CHECK_FALSE(condition_message::decode(bytes.substr(0, bytes.size() / 2)));
+    CHECK_FALSE(condition_message::decode(bytes + "x"));
+    std::mt19937 random(20261204);
+    for (int round = 0; round < 20000; ++round) {
+        auto mutated = bytes;
+        mutated[random() % mutated.size()] = static_cast<char>(random());
+        const auto read = condition_message::decode(mutated);
+        for (const auto& item : read.value_or(condition_report{}).items) {
+            REQUIRE(item.condition.failing <= 1);
+            REQUIRE(item.age >= 0ms);
+        }
+    }
+}
