Try sound owners of the data centre that nobody has heard of

Most had not been asked since the start: an owner that has told nothing cost more than one that had just answered. Ruled out: missing records (entries knew all 49 owners) and stopping daemons. Change: a request that can be sent again takes such an owner as it takes one that was not heard of for 0.7 s. The unit test of the ranking fails without the change. Tried and reverted: pressure told apart by requests that may run once and again.

--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -129,7 +129,8 @@
     const double failure = failure_cost(wish, now);
     const auto found = m_views.find(record.address);
     if (found == m_views.end() || !found->second.was_told) {
-        return way + untried_failing * failure;
+        const bool is_near = record.data_centre == m_location.data_centre;
+        return wish.may_repeat && is_near ? way : way + untried_failing * failure;
     }
     const auto& view = found->second;
     if (wish.may_repeat && is_overdue(record, view, now)) {
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -121,8 +121,9 @@
 
 TEST_CASE("owner_ranking: no sound owner of the data centre is left without work", "[relay]")
 {
-    // Guards against the floor broken on trouble-2 of brazos-wheelworks-grown: at a fifth of its
-    // load, a service's requests all went to the owners that had just answered.
+    // Guards against the floor broken on trouble-2 and on the drawn day fresh-ba60 of
+    // brazos-wheelworks-grown: at a fifth of its load, a service's requests all went to the owners
+    // that had just answered, and none to those that nobody had heard of.
     fixture at;
     at.add("idle", "ash-a", "ash");
     at.ranking.note_news("idle", {0.06, 0}, at.time.steady_now());
@@ -131,6 +132,10 @@
     constexpr bool may_repeat = true;
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
     CHECK(at.choose(order_bytes) == "near");
+    at.ranking.note_news("idle", {0.03, 0.1}, at.time.steady_now());
+    at.add("unheard", "ash-a", "ash");
+    CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "unheard");
+    CHECK(at.choose(order_bytes) != "unheard");
 }
 
 TEST_CASE("owner_ranking: an owner that is leaving is asked by nobody for a while", "[relay]")
