--- a/src/experiment/relay_experiment.cpp
+++ b/src/experiment/relay_experiment.cpp
@@ -26,7 +26,7 @@
     add("no news", [](auto& made) { made.knowledge = owner_knowledge::told; });
     add("current news", [](auto& made) { made.knowledge = owner_knowledge::current; });
     add("clairvoyant", [](auto& made) { made.knowledge = owner_knowledge::clairvoyant; });
-    add("no pressure", [](auto& made) { made.heeds_pressure = false; });
+    add("never explores", [](auto& made) { made.explores = false; });
     add("takes any risk", [](auto& made) { made.policy.greatest_doubt = certain; });
     add("refuses doubt", [](auto& made) { made.policy.greatest_doubt = 0.4; });
     add("no belief",
--- a/src/relay/condition_exchange.cpp
+++ b/src/relay/condition_exchange.cpp
@@ -79,8 +79,7 @@
     if (items.empty()) {
         return;
     }
-    const auto message =
-        condition_message::encode({m_context.ranking.pressure().own(m_context.now()), items});
+    const auto message = condition_message::encode(items);
     for (const auto& receiver : choose_receivers()) {
         const auto address = ip_endpoint::parse(receiver);
         if (!address || message.size() > condition_message::max_bytes) {
@@ -123,7 +122,7 @@
             if (size <= 0) {
                 return;
             }
-            take(sender.toString(), {buffer.data(), static_cast<std::size_t>(size)});
+            take({buffer.data(), static_cast<std::size_t>(size)});
         }
         catch (const Poco::Exception&) {
             return; // Nothing is left to read.
@@ -131,19 +130,15 @@
     }
 }
 
-void condition_exchange::take(const std::string& sender, std::string_view bytes)
+void condition_exchange::take(std::string_view bytes)
 {
-    const auto report = condition_message::decode(bytes);
-    if (!report) {
+    const auto items = condition_message::decode(bytes);
+    if (!items) {
         m_context.metrics.note_condition_message("unreadable");
         return;
     }
     m_context.metrics.note_condition_message("received");
-    const auto* const known = m_context.directory.find(sender);
-    if (known != nullptr && known->data_centre == m_context.location.data_centre) {
-        m_context.ranking.pressure().note_neighbour(sender, report->ends, m_context.now());
-    }
-    for (const auto& item : report->items) {
+    for (const auto& item : *items) {
         const auto told_at = m_context.now() - item.age;
         if (m_context.directory.find(item.owner) != nullptr &&
             m_news.note(item.owner, item.condition, told_at)) {
--- a/src/relay/condition_exchange.h
+++ b/src/relay/condition_exchange.h
@@ -36,7 +36,7 @@
     void arm();
     void tell();
     void receive();
-    void take(const std::string& sender, std::string_view bytes);
+    void take(std::string_view bytes);
     std::vector<std::string> choose_receivers();
 
     relay_context& m_context;
--- a/src/relay/condition_message.cpp
+++ b/src/relay/condition_message.cpp
@@ -14,10 +14,6 @@
 constexpr int max_load_percent = 1'000'000;
 constexpr std::int64_t max_age_ms = 60'000;
 constexpr std::size_t item_fields = 5;
-constexpr std::size_t message_fields = 3;
-// Ends of requests are told in tenths, since they fade.
-constexpr double ends_scale = 10;
-constexpr std::int64_t max_ends = 10'000'000;
 
 json item_to_json(const condition_item& item)
 {
@@ -64,38 +60,32 @@
 
 } // namespace
 
-std::string condition_message::encode(const condition_report& report)
+std::string condition_message::encode(const std::vector<condition_item>& items)
 {
     auto list = json::array();
-    for (const auto& item : report.items) {
+    for (const auto& item : items) {
         list.push_back(item_to_json(item));
     }
-    const auto message =
-        json::array({std::lround(report.ends.all * ends_scale),
-                     std::lround(report.ends.unserved * ends_scale), std::move(list)});
     std::string bytes;
-    json::to_cbor(message, bytes);
+    json::to_cbor(list, bytes);
     return bytes;
 }
 
-std::optional<condition_report> condition_message::decode(std::string_view bytes)
+std::optional<std::vector<condition_item>> condition_message::decode(std::string_view bytes)
 {
     const auto message = parse(bytes);
-    if (!message.is_array() || message.size() != message_fields ||
-        !is_number_up_to(message[0], max_ends) || !is_number_up_to(message[1], max_ends) ||
-        !message[2].is_array() || message[2].size() > condition_news::max_items) {
+    if (!message.is_array() || message.size() > condition_news::max_items) {
         return {};
     }
-    condition_report report;
-    report.ends = {message[0].get<double>() / ends_scale, message[1].get<double>() / ends_scale};
-    for (const auto& value : message[2]) {
+    std::vector<condition_item> items;
+    for (const auto& value : message) {
         auto item = item_from_json(value);
         if (!item) {
             return {};
         }
-        report.items.push_back(std::move(*item));
+        items.push_back(std::move(*item));
     }
-    return report;
+    return items;
 }
 
 } // namespace galenaroad
--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "net/http_status.h"
 #include "relay/entry_reply.h"
+#include "telemetry/duration_text.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
@@ -449,11 +450,7 @@
     if (is_from_own_instance() && (status == 0 || status >= HTTPResponse::HTTP_BAD_REQUEST)) {
         m_context.local_failure_at = m_context.now();
     }
-    if (m_route != nullptr && !m_client_is_gone) {
-        m_context.ranking.pressure().note(is_success(status), m_context.now());
-    }
     m_context.metrics.note_answer(m_service, status, elapsed);
-    const auto elapsed_ms = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed);
     m_context.log.note(
         "entry", m_request_id,
         {{"status", std::to_string(status)},
@@ -468,7 +465,7 @@
           std::string(reason_name(m_current ? m_current->report().reason : owner_reason::none))},
          {"stage", std::to_string(static_cast<int>(m_search.stage()))},
          {"known_owners", std::to_string(m_context.directory.ready_for(m_service).size())},
-         {"elapsed_ms", std::to_string(elapsed_ms.count())}});
+         {"elapsed_ms", ms_text(elapsed)}});
     end();
 }
 
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -4,6 +4,7 @@
 #include "relay/late_body.h"
 #include "relay/owner_call.h"
 #include "relay/owner_reply.h"
+#include "telemetry/duration_text.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
@@ -34,11 +35,6 @@
     return static_cast<int>(context.directory.ready_for(service).size());
 }
 
-std::string ms_text(std::chrono::nanoseconds time)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 } // namespace
 
 owner_exchange::owner_exchange(relay_context& context, std::shared_ptr<server_exchange> client,
--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -21,7 +21,10 @@
 // What was known of an owner of this data centre is out of date after this time: a request that can
 // be sent again finds out, so that no sound upstream is left without work.
 constexpr auto overdue_age = 700ms;
-constexpr double overdue_priority = 1;
+// A doubtful one is tried again after this time: often enough that it is not idle for long after it
+// has recovered, and rarely enough that one which goes on failing costs few requests.
+constexpr auto trial_pause = 3s;
+constexpr double trial_priority = 1;
 constexpr double doubtful = 0.4;
 constexpr double load_cost = 0.15;
 // Time after which what an owner told says little: upstreams start and stop failing within it.
@@ -134,8 +137,7 @@
     }
     const auto& view = found->second;
     if (wish.may_repeat && is_overdue(record, view, now)) {
-        const bool is_doubtful = view.condition.failing > doubtful;
-        return is_doubtful ? way - overdue_priority : way;
+        return view.condition.failing > doubtful ? way - trial_priority : way;
     }
     const std::chrono::duration<double> age = now - view.told_at;
     const std::chrono::duration<double> memory = condition_memory;
@@ -144,22 +146,28 @@
     return way + failing * failure + load_cost * view.condition.load * kept;
 }
 
-// One that was doubtful is tried only under pressure.
 bool owner_ranking::is_overdue(const owner_record& record, const owner_view& view,
                                steady_time now) const
 {
-    const bool is_near = record.data_centre == m_location.data_centre;
-    const bool is_old = now - view.told_at > overdue_age;
-    return is_near && is_old && (view.condition.failing <= doubtful || m_pressure.is_high(now));
+    if (record.data_centre != m_location.data_centre) {
+        return false;
+    }
+    const auto age = now - view.told_at;
+    if (view.condition.failing > doubtful) {
+        return age > trial_pause && has_retry_budget(now);
+    }
+    return age > overdue_age;
+}
+
+bool owner_ranking::has_retry_budget(steady_time now) const
+{
+    return !m_budget_used_up_at || now - *m_budget_used_up_at > budget_recovery_time;
 }
 
 // A request that can be sent again risks less, as long as the retry budget has a further attempt.
 double owner_ranking::failure_cost(const owner_wish& wish, steady_time now) const
 {
-    const bool has_budget =
-        !m_budget_used_up_at || now - *m_budget_used_up_at > budget_recovery_time;
-    const bool takes_risks = wish.may_repeat && has_budget && m_pressure.is_high(now);
-    return takes_risks ? repeated_failure_cost : 1;
+    return wish.may_repeat && has_retry_budget(now) ? repeated_failure_cost : 1;
 }
 
 double owner_ranking::way_cost(const owner_record& record, double payload_bytes) const
--- a/src/relay/owner_ranking.h
+++ b/src/relay/owner_ranking.h
@@ -3,7 +3,6 @@
 #include "base/clock.h"
 #include "base/random_engine.h"
 #include "fleet/owner_directory.h"
-#include "relay/service_pressure.h"
 
 #include <map>
 #include <optional>
@@ -73,9 +72,6 @@
     void note_news(const std::string& address, const owner_condition& condition,
                    steady_time told_at);
 
-    /// @return the pressure on this data centre, which requests are noted in.
-    service_pressure& pressure() { return m_pressure; }
-
     /// Notes that an owner refused a further attempt for want of the fleet's retry budget.
     void note_budget_used_up(steady_time now) { m_budget_used_up_at = now; }
 
@@ -97,13 +93,13 @@
 
     double cost(const owner_record& record, const owner_wish& wish, steady_time now);
     bool is_overdue(const owner_record& record, const owner_view& view, steady_time now) const;
+    bool has_retry_budget(steady_time now) const;
     double failure_cost(const owner_wish& wish, steady_time now) const;
     double way_cost(const owner_record& record, double payload_bytes) const;
 
     daemon_location m_location;
     random_engine m_random;
     std::map<std::string, owner_view> m_views;
-    service_pressure m_pressure;
     std::optional<steady_time> m_budget_used_up_at;
 };
 
