--- a/src/experiment/relay_experiment.cpp
+++ b/src/experiment/relay_experiment.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <functional>
 #include <iomanip>
 #include <iostream>
 
@@ -36,6 +37,44 @@
     return versions;
 }
 
+/// A change of the recorded world that no version has been chosen on.
+struct world {
+    const char* name;
+    std::function<void(replay_scenario&)> change;
+};
+
+void scale_times(replay_scenario& load, double factor)
+{
+    using std::chrono::milliseconds;
+    const auto scale = [factor](milliseconds& time) {
+        time = std::chrono::duration_cast<milliseconds>(time * factor);
+    };
+    for (auto& kind : load.kinds) {
+        scale(kind.work);
+        scale(kind.goal);
+        scale(kind.deadline);
+        // As many of them hold a slot at a time as before.
+        for (auto& rate : kind.rates) {
+            rate /= factor;
+        }
+    }
+}
+
+std::vector<world> all_worlds()
+{
+    constexpr double tenth = 0.1;
+    constexpr double tenfold = 10;
+    return {
+        {"recorded", [](auto&) {}},
+        {"spells x 0.1", [](auto& load) { load.noise.period /= 10; }},
+        {"spells x 10", [](auto& load) { load.noise.period *= 10; }},
+        {"3% failing", [](auto& load) { load.noise.share *= tenth; }},
+        {"9% of requests", [](auto& load) { load.noise.failing_share *= tenth; }},
+        {"work x 0.1", [](auto& load) { scale_times(load, tenth); }},
+        {"work x 10", [](auto& load) { scale_times(load, tenfold); }},
+    };
+}
+
 struct sums {
     double worth = 0;
     double whole = 0;
@@ -79,11 +118,12 @@
               << of.far_mb / seeds << '\n';
 }
 
-void compare(const std::string& path, std::uint64_t seeds)
+void compare(const std::string& path, const world& played, std::uint64_t seeds)
 {
-    const auto scenario = replay_scenario::read(path);
+    auto scenario = replay_scenario::read(path);
+    played.change(scenario);
     std::cout << '\n'
-              << scenario.name << '\n'
+              << scenario.name << ", " << played.name << '\n'
               << "version           worth   whole   nines  windows    kind  served  refused*"
                  "    held  attempts  wasted  far MB\n";
     for (const auto& version : all_versions()) {
@@ -103,12 +143,19 @@
                              "Compares versions of the decisions on recorded loads.");
     options.add_options()("replays", "files with replays",
                           cxxopts::value<std::vector<std::string>>())(
-        "seeds", "seeds of each replay", cxxopts::value<std::uint64_t>()->default_value("10"));
+        "seeds", "seeds of each replay", cxxopts::value<std::uint64_t>()->default_value("10"))(
+        "worlds", "also plays worlds that differ by ten times from the recorded one");
     options.parse_positional("replays");
     try {
         const auto given = options.parse(count, arguments);
+        auto worlds = all_worlds();
+        if (given.count("worlds") == 0) {
+            worlds.resize(1);
+        }
         for (const auto& path : given["replays"].as<std::vector<std::string>>()) {
-            compare(path, given["seeds"].as<std::uint64_t>());
+            for (const auto& each : worlds) {
+                compare(path, each, given["seeds"].as<std::uint64_t>());
+            }
         }
         std::cout << "\nworth: as the users weigh it, without prices; refused*: while an upstream "
                      "of the service had a free slot; held: ms until a refusal\n";
