--- a/src/experiment/replay_scenario.cpp
+++ b/src/experiment/replay_scenario.cpp
@@ -103,6 +103,9 @@
 {
     replay_scenario scenario;
     scenario.name = node["name"].as<std::string>();
+    scenario.data_centres = node["data_centres"].as<int>(scenario.data_centres);
+    scenario.data_centres_per_region =
+        node["data_centres_per_region"].as<int>(scenario.data_centres_per_region);
     scenario.retry_extra = node["retry_extra"].as<double>();
     for (const auto& each : node["services"]) {
         scenario.services.push_back(service_from(each));
