--- a/src/tests/owned_upstream_test.cpp
+++ b/src/tests/owned_upstream_test.cpp
@@ -88,6 +88,23 @@
     CHECK(at.run(run_outcome::success) == owner_reason::none);
 }
 
+TEST_CASE("owned_upstream: doubt refuses a request whose entry still looks for owners", "[relay]")
+{
+    // Guards against orders that fail at an upstream which has just failed while others are sound,
+    // and against their refusal when the others have no room.
+    fixture at;
+    CHECK(at.run(run_outcome::failure) == owner_reason::none);
+    at.time.advance(2s);
+    auto order = fixture::order();
+    order.may_wait = false;
+    CHECK(at.owned.ask(order, owners).reason == owner_reason::in_doubt);
+    order.may_wait = true;
+    CHECK(at.owned.ask(order, owners).reason == owner_reason::none);
+    auto repeatable = fixture::order(request_kind::safe);
+    repeatable.may_wait = false;
+    CHECK(at.owned.ask(repeatable, owners).reason == owner_reason::none);
+}
+
 TEST_CASE("owned_upstream: rejections cost an attempt and no more", "[relay]")
 {
     // Guards against scale-1 on tvw-mesh: a service whose upstreams all rejected half of their
