Tell trials of owners in doubt, and refusals by service

The record could not tell why: refusals of owners had no service, and nothing said when an entry left out the trial of an owner in doubt.

Change: galenaroad_entry_trials_total{service,decision} and the field trial of each entry line; galenaroad_owner_refusals_total and galenaroad_owner_runs_total carry the service. No decision changes.

--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -110,6 +110,7 @@
         return;
     }
     const auto* const owner = m_search.next(may_repeat(), m_context.now());
+    note_trial();
     if (owner == nullptr) {
         give_up();
         return;
@@ -117,6 +118,13 @@
     send_to(*owner);
 }
 
+void entry_exchange::note_trial()
+{
+    if (m_search.trial() != trial_decision::none_due) {
+        m_context.metrics.note_trial(m_service, std::string(trial_decision_name(m_search.trial())));
+    }
+}
+
 void entry_exchange::send_to(const owner_record& owner)
 {
     owner_request request;
@@ -464,6 +472,7 @@
          {"last_refusal",
           std::string(reason_name(m_current ? m_current->report().reason : owner_reason::none))},
          {"stage", std::to_string(static_cast<int>(m_search.stage()))},
+         {"trial", std::string(trial_decision_name(m_search.trial()))},
          {"known_owners", std::to_string(m_context.directory.ready_for(m_service).size())},
          {"elapsed_ms", ms_text(elapsed)}});
     end();
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -48,6 +48,7 @@
     /// @return the error to answer with, or nothing when the request can be served.
     std::optional<route_error> find_route();
     void try_next();
+    void note_trial();
     void send_to(const owner_record& owner);
     relay_order order_for(const owner_record& owner) const;
     call_ptr make_call(owner_request request);
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -384,7 +384,7 @@
 
 void owner_exchange::answer_not_run(owner_reason reason, std::chrono::milliseconds retry_after)
 {
-    m_context.metrics.note_refusal(std::string(reason_name(reason)));
+    m_context.metrics.note_refusal(m_context.own_service, std::string(reason_name(reason)));
     m_answer = {owner_reply::not_run(m_context, reason, retry_after), {}};
     m_client->respond(m_answer.head, {});
     end(reason_name(reason).data());
@@ -428,7 +428,8 @@
     m_has_slot = false;
     const auto served = m_context.now() - m_sent_at;
     m_context.owned.finish(m_order.route, served, outcome);
-    m_context.metrics.note_run(outcome == run_outcome::success ? "success" : "no_success", served);
+    m_context.metrics.note_run(m_context.own_service,
+                               outcome == run_outcome::success ? "success" : "no_success", served);
 }
 
 owner_report owner_exchange::report(owner_result result, owner_reason reason)
--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -48,27 +48,47 @@
 
 } // namespace
 
+std::string_view trial_decision_name(trial_decision decision)
+{
+    switch (decision) {
+    case trial_decision::none_due:
+        return "none_due";
+    case trial_decision::made:
+        return "made";
+    case trial_decision::no_budget:
+        return "no_budget";
+    }
+    return "none_due";
+}
+
 owner_ranking::owner_ranking(daemon_location location, random_engine random)
     : m_location(std::move(location)), m_random(random)
 {
 }
 
-const owner_record* owner_ranking::choose(const owner_directory& directory, const owner_wish& wish,
-                                          steady_time now)
+owner_choice owner_ranking::choose(const owner_directory& directory, const owner_wish& wish,
+                                   steady_time now)
 {
-    const owner_record* best = nullptr;
+    owner_choice best;
     double best_cost = 0;
+    bool is_trial_due = false;
     for (const auto* const record : directory.ready_for(wish.service)) {
         if (wish.excluded.count(record->address) > 0 || !is_reachable(record->address, now) ||
             would_refuse(record->address, wish.skips, now)) {
             continue;
         }
+        const auto* const view = told_view(record->address);
+        const bool may_be_tried = wish.may_repeat && is_near(*record) && view != nullptr;
+        is_trial_due = is_trial_due || (may_be_tried && is_due_for_trial(*view, now));
         const double each = cost(*record, wish, now);
-        if (best == nullptr || each < best_cost) {
-            best = record;
+        if (best.record == nullptr || each < best_cost) {
+            best.record = record;
             best_cost = each;
         }
     }
+    if (is_trial_due) {
+        best.trial = has_retry_budget(now) ? trial_decision::made : trial_decision::no_budget;
+    }
     return best;
 }
 
@@ -116,12 +136,11 @@
 bool owner_ranking::would_refuse(const std::string& address, condition_limits limits,
                                  steady_time now) const
 {
-    const auto found = m_views.find(address);
-    if (found == m_views.end() || !found->second.was_told ||
-        now - found->second.told_at > condition_validity) {
+    const auto* const view = told_view(address);
+    if (view == nullptr || now - view->told_at > condition_validity) {
         return false;
     }
-    const auto& told = found->second.condition;
+    const auto& told = view->condition;
     return told.failing > limits.failing || told.load >= limits.load;
 }
 
@@ -130,33 +149,44 @@
     std::uniform_real_distribution<double> scatter(0, random_cost);
     const double way = way_cost(record, wish.payload_bytes) + scatter(m_random);
     const double failure = failure_cost(wish, now);
-    const auto found = m_views.find(record.address);
-    if (found == m_views.end() || !found->second.was_told) {
-        const bool is_near = record.data_centre == m_location.data_centre;
-        return wish.may_repeat && is_near ? way : way + untried_failing * failure;
+    const auto* const view = told_view(record.address);
+    if (view == nullptr) {
+        return wish.may_repeat && is_near(record) ? way : way + untried_failing * failure;
     }
-    const auto& view = found->second;
-    if (wish.may_repeat && is_overdue(record, view, now)) {
-        return view.condition.failing > doubtful ? way - trial_priority : way;
+    if (wish.may_repeat && is_near(record)) {
+        if (is_due_for_trial(*view, now) && has_retry_budget(now)) {
+            return way - trial_priority;
+        }
+        if (is_out_of_date(*view, now)) {
+            return way;
+        }
     }
-    const std::chrono::duration<double> age = now - view.told_at;
+    const std::chrono::duration<double> age = now - view->told_at;
     const std::chrono::duration<double> memory = condition_memory;
     const double kept = std::exp(-age.count() / memory.count());
-    const double failing = default_failing + (view.condition.failing - default_failing) * kept;
-    return way + failing * failure + load_cost * view.condition.load * kept;
+    const double failing = default_failing + (view->condition.failing - default_failing) * kept;
+    return way + failing * failure + load_cost * view->condition.load * kept;
 }
 
-bool owner_ranking::is_overdue(const owner_record& record, const owner_view& view,
-                               steady_time now) const
+const owner_ranking::owner_view* owner_ranking::told_view(const std::string& address) const
 {
-    if (record.data_centre != m_location.data_centre) {
-        return false;
-    }
-    const auto age = now - view.told_at;
-    if (view.condition.failing > doubtful) {
-        return age > trial_pause && has_retry_budget(now);
-    }
-    return age > overdue_age;
+    const auto found = m_views.find(address);
+    return found != m_views.end() && found->second.was_told ? &found->second : nullptr;
+}
+
+bool owner_ranking::is_near(const owner_record& record) const
+{
+    return record.data_centre == m_location.data_centre;
+}
+
+bool owner_ranking::is_due_for_trial(const owner_view& view, steady_time now)
+{
+    return view.condition.failing > doubtful && now - view.told_at > trial_pause;
+}
+
+bool owner_ranking::is_out_of_date(const owner_view& view, steady_time now)
+{
+    return view.condition.failing <= doubtful && now - view.told_at > overdue_age;
 }
 
 bool owner_ranking::has_retry_budget(steady_time now) const
@@ -172,7 +202,7 @@
 
 double owner_ranking::way_cost(const owner_record& record, double payload_bytes) const
 {
-    if (record.data_centre == m_location.data_centre) {
+    if (is_near(record)) {
         return 0;
     }
     const double megabytes = (payload_bytes + exchange_bytes) / bytes_per_mb;
--- a/src/relay/owner_ranking.h
+++ b/src/relay/owner_ranking.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace galenaroad {
 
@@ -41,6 +42,22 @@
     bool may_repeat = false;        ///< Another attempt can follow a failure.
 };
 
+/// What a choice did about the owners in doubt that are due for a trial.
+enum class trial_decision {
+    none_due,
+    made,      ///< The owner that was chosen is on trial.
+    no_budget, ///< One was due, but no further attempt could have followed.
+};
+
+/// @return the decision's name in logs and metrics.
+std::string_view trial_decision_name(trial_decision decision);
+
+/// The owner that was chosen for a request.
+struct owner_choice {
+    const owner_record* record = nullptr; ///< Null when none is left.
+    trial_decision trial = trial_decision::none_due;
+};
+
 /// Chooses the owner to which a request is sent next.
 ///
 /// Answers the load where a near upstream is failing or full while a farther one is not: the
@@ -55,9 +72,8 @@
     /// @param directory the known owners.
     /// @param wish what the request needs.
     /// @param now the current time.
-    /// @return the owner's record, or null when none is left.
-    const owner_record* choose(const owner_directory& directory, const owner_wish& wish,
-                               steady_time now);
+    /// @return the owner, and whether it is on trial.
+    owner_choice choose(const owner_directory& directory, const owner_wish& wish, steady_time now);
 
     /// @return true when an owner that is worth asking by other limits has just told that it would
     /// refuse by these ones.
@@ -92,7 +108,10 @@
     };
 
     double cost(const owner_record& record, const owner_wish& wish, steady_time now);
-    bool is_overdue(const owner_record& record, const owner_view& view, steady_time now) const;
+    const owner_view* told_view(const std::string& address) const;
+    bool is_near(const owner_record& record) const;
+    static bool is_due_for_trial(const owner_view& view, steady_time now);
+    static bool is_out_of_date(const owner_view& view, steady_time now);
     bool has_retry_budget(steady_time now) const;
     double failure_cost(const owner_wish& wish, steady_time now) const;
     double way_cost(const owner_record& record, double payload_bytes) const;
--- a/src/relay/owner_search.cpp
+++ b/src/relay/owner_search.cpp
@@ -40,7 +40,7 @@
     return choose(may_repeat, now);
 }
 
-const owner_record* owner_search::choose(bool may_repeat, steady_time now) const
+const owner_record* owner_search::choose(bool may_repeat, steady_time now)
 {
     if (has_asked_enough()) {
         return nullptr;
@@ -52,7 +52,9 @@
     wish.payload_bytes = m_payload_bytes;
     wish.skips = m_stage == search_stage::choosing ? free_and_sound : condition_limits{};
     wish.may_repeat = may_repeat;
-    return m_ranking.choose(m_directory, wish, now);
+    const auto choice = m_ranking.choose(m_directory, wish, now);
+    m_trial = choice.trial;
+    return choice.record;
 }
 
 bool owner_search::has_asked_enough() const
--- a/src/relay/owner_search.h
+++ b/src/relay/owner_search.h
@@ -48,6 +48,9 @@
     /// @return how far the search has come.
     search_stage stage() const { return m_stage; }
 
+    /// @return what the latest choice did about owners that were due for a trial.
+    trial_decision trial() const { return m_trial; }
+
     /// @return refusals so far.
     int refusals() const { return m_refusals; }
 
@@ -55,7 +58,7 @@
     std::chrono::milliseconds retry_after() const { return m_retry_after; }
 
 private:
-    const owner_record* choose(bool may_repeat, steady_time now) const;
+    const owner_record* choose(bool may_repeat, steady_time now);
     bool has_asked_enough() const;
     void wait_for_slot();
 
@@ -67,6 +70,7 @@
     std::set<std::string> m_refused;  ///< Owners that may accept the request in a later stage.
     std::chrono::milliseconds m_retry_after{0};
     search_stage m_stage = search_stage::choosing;
+    trial_decision m_trial = trial_decision::none_due;
     int m_refusals = 0;
     int m_stage_refusals = 0; ///< Refusals in the current stage.
     int m_busy_refusals = 0;  ///< Those of them for want of a slot.
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -17,22 +17,32 @@
             elapsed);
 }
 
-void relay_metrics::note_run(const std::string& outcome, std::chrono::nanoseconds elapsed)
+void relay_metrics::note_run(const std::string& service, const std::string& outcome,
+                             std::chrono::nanoseconds elapsed)
 {
     m_registry
         .counter("galenaroad_owner_runs_total", "Requests that the owned upstream received.",
-                 {{"outcome", outcome}})
+                 {{"service", service}, {"outcome", outcome}})
         .Increment();
     observe(m_registry.latency("galenaroad_owner_seconds",
                                "Time from sending a request to the upstream to its end."),
             elapsed);
 }
 
-void relay_metrics::note_refusal(const std::string& reason)
+void relay_metrics::note_refusal(const std::string& service, const std::string& reason)
 {
     m_registry
         .counter("galenaroad_owner_refusals_total", "Requests that the owner refused as not run.",
-                 {{"reason", reason}})
+                 {{"service", service}, {"reason", reason}})
+        .Increment();
+}
+
+void relay_metrics::note_trial(const std::string& service, const std::string& decision)
+{
+    m_registry
+        .counter("galenaroad_entry_trials_total",
+                 "Choices for which an owner in doubt was due for a trial.",
+                 {{"service", service}, {"decision", decision}})
         .Increment();
 }
 
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -21,12 +21,21 @@
     void note_answer(const std::string& service, int status, std::chrono::nanoseconds elapsed);
 
     /// Notes a request that the owned upstream ran.
+    /// @param service the upstream's service.
     /// @param outcome `success`, `failure`, `rejected` or `cancelled`.
     /// @param elapsed from the sending of the request.
-    void note_run(const std::string& outcome, std::chrono::nanoseconds elapsed);
+    void note_run(const std::string& service, const std::string& outcome,
+                  std::chrono::nanoseconds elapsed);
 
     /// Notes a refusal of the owner.
-    void note_refusal(const std::string& reason);
+    /// @param service the service of the owned upstream.
+    /// @param reason why.
+    void note_refusal(const std::string& service, const std::string& reason);
+
+    /// Notes a choice of the entry for which an owner in doubt was due for a trial.
+    /// @param service the service of the request.
+    /// @param decision `made` or `no_budget`.
+    void note_trial(const std::string& service, const std::string& decision);
 
     /// Notes a query for the answer of a request whose connection was lost.
     /// @param outcome `kept`, `pending`, `not_run` or `unknown`.
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -39,7 +39,7 @@
                        condition_limits skips = {}, bool may_repeat = false)
     {
         const owner_wish wish{"orders", excluded, bytes, skips, may_repeat};
-        const auto* const found = ranking.choose(directory, wish, time.steady_now());
+        const auto* const found = ranking.choose(directory, wish, time.steady_now()).record;
         return found == nullptr ? "" : found->address;
     }
 };
