Add failing tests of sound upstreams beside short services

Suspected cause: an entry remembers one retry budget for all services, so that refusals of short services end the trials of another's owners. A version that never makes trials breaks the floor as well, so the measure sees what it is meant for.

--- a/src/experiment/relay_experiment.cpp
+++ b/src/experiment/relay_experiment.cpp
@@ -92,6 +92,7 @@
     double attempts = 0;
     double wasted = 0;
     double far_mb = 0;
+    double floor = 0;
 
     void add(const replay_result& result)
     {
@@ -107,6 +108,7 @@
         attempts += static_cast<double>(result.attempts) / static_cast<double>(result.requests);
         wasted += static_cast<double>(result.wasted_runs);
         far_mb += result.far_megabytes;
+        floor += static_cast<double>(result.floor_breaches);
     }
 };
 
@@ -120,7 +122,7 @@
               << of.free_refusals / seeds << std::setw(8) << of.held_ms / seeds
               << std::setprecision(3) << std::setw(10) << of.attempts / seeds
               << std::setprecision(1) << std::setw(8) << of.wasted / seeds << std::setw(8)
-              << of.far_mb / seeds << '\n';
+              << of.far_mb / seeds << std::setw(8) << of.floor / seeds << '\n';
 }
 
 void compare(const std::string& path, const world& played, std::uint64_t seeds)
@@ -130,7 +132,7 @@
     std::cout << '\n'
               << scenario.name << ", " << played.name << '\n'
               << "version           worth   whole   nines  windows    kind  served  refused*"
-                 "    held  attempts  wasted  far MB\n";
+                 "    held  attempts  wasted  far MB   floor\n";
     for (const auto& version : all_versions()) {
         sums total;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/src/experiment/relay_replay.cpp
+++ b/src/experiment/relay_replay.cpp
@@ -92,6 +92,7 @@
     }
     m_result.windows.resize(static_cast<std::size_t>(m_scenario.length() / window_length) + 1);
     m_loop.run_for(m_scenario.length() + 20s);
+    m_result.floor_breaches = m_floor.breaches(m_servers, m_scenario.length());
     return m_result;
 }
 
@@ -245,6 +246,7 @@
     made->started = m_loop.steady_now();
     ++at.running;
     ++m_result.attempts;
+    m_floor.note_arrival(at.place().index, made->started - m_start);
     if (chance(at.rejecting_share())) {
         m_loop.after(failing_time, [this, made] { finish(made, run_outcome::rejection); });
         return;
@@ -415,8 +417,11 @@
         return;
     }
     asked->has_ended = true;
+    const bool is_served = std::string(how) == "served";
+    m_floor.note_end(m_scenario.kinds[asked->kind].service, is_served,
+                     m_loop.steady_now() - m_start);
     if (asked->on_end) {
-        asked->on_end(std::string(how) == "served");
+        asked->on_end(is_served);
         return;
     }
     count(*asked, how);
--- a/src/experiment/relay_replay.h
+++ b/src/experiment/relay_replay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random_engine.h"
+#include "experiment/replay_floor.h"
 #include "experiment/replay_result.h"
 #include "experiment/replay_scenario.h"
 #include "experiment/replay_server.h"
@@ -102,6 +103,7 @@
     /// Owners by request that waits for a slot.
     std::map<std::pair<std::size_t, std::uint64_t>, job_ptr> m_waiting;
     replay_result m_result;
+    replay_floor m_floor;
 };
 
 } // namespace galenaroad
--- a/src/experiment/replay_result.h
+++ b/src/experiment/replay_result.h
@@ -31,6 +31,7 @@
     long refused_beside_free_slot = 0;  ///< While an upstream of the service had a free slot.
     std::chrono::milliseconds refused_held{0}; ///< Sum of the time that refused requests took.
     double far_megabytes = 0;                  ///< Between data centres.
+    long floor_breaches = 0;                   ///< See replay_floor.
 
     /// @return the share served, as a part of the nines that count at most (0.995).
     double nines() const;
--- a/src/experiment/replay_server.cpp
+++ b/src/experiment/replay_server.cpp
@@ -1,5 +1,6 @@
 #include "experiment/replay_server.h"
 
+#include <algorithm>
 #include <cmath>
 #include <random>
 
@@ -89,18 +90,42 @@
 
 bool replay_server::is_noisy() const
 {
-    const auto elapsed = m_clock.steady_now() - m_start + m_noise_phase;
-    const auto period = static_cast<std::size_t>(elapsed / m_scenario.noise.period);
+    const auto period = noise_period(m_clock.steady_now() - m_start);
     return period < m_noisy_periods.size() && m_noisy_periods[period];
 }
 
+std::size_t replay_server::noise_period(std::chrono::nanoseconds at) const
+{
+    const auto phased = std::max<std::chrono::nanoseconds>(at + m_noise_phase, {});
+    return static_cast<std::size_t>(phased / m_scenario.noise.period);
+}
+
+bool replay_server::is_sound(std::chrono::nanoseconds from, std::chrono::nanoseconds until,
+                             std::chrono::nanoseconds after_fault,
+                             std::chrono::nanoseconds after_failing) const
+{
+    const auto last = std::min(noise_period(until) + 1, m_noisy_periods.size());
+    for (auto period = noise_period(from - after_failing); period < last; ++period) {
+        if (m_noisy_periods[period]) {
+            return false;
+        }
+    }
+    return std::none_of(m_scenario.faults.begin(), m_scenario.faults.end(), [&](const auto& each) {
+        return is_hit_by(each) && each.from < until && each.until > from - after_fault;
+    });
+}
+
+bool replay_server::is_hit_by(const replay_fault& fault) const
+{
+    return fault.service == m_place.service &&
+           m_place.number < std::lround(fault.share * service().upstreams);
+}
+
 const replay_fault* replay_server::fault(replay_fault::effect what) const
 {
     const auto now = m_clock.steady_now() - m_start;
     for (const auto& each : m_scenario.faults) {
-        const bool is_meant = each.what == what && each.service == m_place.service &&
-                              m_place.number < std::lround(each.share * service().upstreams);
-        if (is_meant && each.from <= now && now < each.until) {
+        if (each.what == what && is_hit_by(each) && each.from <= now && now < each.until) {
             return &each;
         }
     }
--- a/src/experiment/replay_server.h
+++ b/src/experiment/replay_server.h
@@ -51,11 +51,22 @@
     /// @return true while it could run another request.
     bool has_free_slot() const;
 
+    /// @param from begin of a span, as time since the start of the replay.
+    /// @param until its end.
+    /// @param after_fault time for which an upstream is not sound after a fault.
+    /// @param after_failing the same after it has failed by itself.
+    /// @return true when it is sound in the whole span.
+    bool is_sound(std::chrono::nanoseconds from, std::chrono::nanoseconds until,
+                  std::chrono::nanoseconds after_fault,
+                  std::chrono::nanoseconds after_failing) const;
+
     owned_upstream owned;
     int running = 0; ///< Requests that it works on.
 
 private:
     bool is_noisy() const;
+    std::size_t noise_period(std::chrono::nanoseconds at) const;
+    bool is_hit_by(const replay_fault& fault) const;
     const replay_fault* fault(replay_fault::effect what) const;
     const replay_service& service() const { return m_scenario.services[m_place.service]; }
 
--- a/src/tests/owner_search_test.cpp
+++ b/src/tests/owner_search_test.cpp
@@ -79,3 +79,22 @@
     REQUIRE(asked.size() == 2);
     CHECK(asked.back() == search_stage::waiting);
 }
+
+TEST_CASE("owner_search: another service without retry budget does not end trials", "[relay]")
+{
+    // Guards against incident 1623: sound upstreams of orders that had failed before got no work,
+    // because owners of other services refused further attempts.
+    fixture at(2);
+    at.ranking.note_news("o0", {0.95, 0}, at.time.steady_now());
+    at.time.advance(4s);
+    at.ranking.note_news("o1", {0.01, 0}, at.time.steady_now());
+    owner_search other(at.directory, at.ranking);
+    other.begin("other", 5000);
+    owner_report refusal;
+    refusal.reason = owner_reason::no_allowance;
+    other.note_refusal("elsewhere", refusal, at.time.steady_now());
+    const auto* const chosen = at.search.next(true, at.time.steady_now());
+    REQUIRE(chosen != nullptr);
+    CHECK(chosen->address == "o0");
+    CHECK(at.search.trial() == trial_decision::made);
+}
--- a/src/tests/relay_replay_test.cpp
+++ b/src/tests/relay_replay_test.cpp
@@ -46,6 +46,15 @@
     return mean;
 }
 
+long floor_breaches(const replay_scenario& load, const replay_version& version)
+{
+    long sum = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sum += relay_replay(load, version, seed).run().floor_breaches;
+    }
+    return sum;
+}
+
 } // namespace
 
 TEST_CASE("relay_replay: a calm day is served better by doubt that lasts", "[relay]")
@@ -121,6 +130,17 @@
     CHECK(product.served > other.served);
 }
 
+TEST_CASE("relay_replay: sound upstreams keep work beside services without retry budget", "[relay]")
+{
+    // Guards against incident 1623: most sound upstreams of orders got nothing for two seconds,
+    // while two other services had used up their retry budgets.
+    const auto load = scenario("short_neighbours");
+    replay_version cautious;
+    cautious.explores = false;
+    CHECK(floor_breaches(load, {}) == 0);
+    CHECK(floor_breaches(load, cautious) > 0);
+}
+
 TEST_CASE("relay_replay: a service that is short uses what it has", "[relay]")
 {
     // Guards against trouble-1 on brazos-wheelworks-grown: the vault had room for less than it was
