Keep the retry budget of each service apart

Cause: owners in doubt get work again by trials, which need a retry budget. An entry remembered for a second that an owner had refused a further attempt, but not of which service.

Change: owner_ranking notes the used up budget by service.

Conclusion: one cause of idle sound upstreams, not the only one.

--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -87,7 +87,8 @@
         }
     }
     if (is_trial_due) {
-        best.trial = has_retry_budget(now) ? trial_decision::made : trial_decision::no_budget;
+        best.trial =
+            has_retry_budget(wish.service, now) ? trial_decision::made : trial_decision::no_budget;
     }
     return best;
 }
@@ -113,6 +114,11 @@
     view.was_told = true;
 }
 
+void owner_ranking::note_budget_used_up(const std::string& service, steady_time now)
+{
+    m_budget_used_up_at[service] = now;
+}
+
 void owner_ranking::note_unreachable(const std::string& address, steady_time now)
 {
     auto& view = m_views[address];
@@ -154,7 +160,7 @@
         return wish.may_repeat && is_near(record) ? way : way + untried_failing * failure;
     }
     if (wish.may_repeat && is_near(record)) {
-        if (is_due_for_trial(*view, now) && has_retry_budget(now)) {
+        if (is_due_for_trial(*view, now) && has_retry_budget(wish.service, now)) {
             return way - trial_priority;
         }
         if (is_out_of_date(*view, now)) {
@@ -189,15 +195,16 @@
     return view.condition.failing <= doubtful && now - view.told_at > overdue_age;
 }
 
-bool owner_ranking::has_retry_budget(steady_time now) const
+bool owner_ranking::has_retry_budget(const std::string& service, steady_time now) const
 {
-    return !m_budget_used_up_at || now - *m_budget_used_up_at > budget_recovery_time;
+    const auto found = m_budget_used_up_at.find(service);
+    return found == m_budget_used_up_at.end() || now - found->second > budget_recovery_time;
 }
 
 // A request that can be sent again risks less, as long as the retry budget has a further attempt.
 double owner_ranking::failure_cost(const owner_wish& wish, steady_time now) const
 {
-    return wish.may_repeat && has_retry_budget(now) ? repeated_failure_cost : 1;
+    return wish.may_repeat && has_retry_budget(wish.service, now) ? repeated_failure_cost : 1;
 }
 
 double owner_ranking::way_cost(const owner_record& record, double payload_bytes) const
--- a/src/relay/owner_ranking.h
+++ b/src/relay/owner_ranking.h
@@ -5,7 +5,6 @@
 #include "fleet/owner_directory.h"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -89,7 +88,9 @@
                    steady_time told_at);
 
     /// Notes that an owner refused a further attempt for want of the fleet's retry budget.
-    void note_budget_used_up(steady_time now) { m_budget_used_up_at = now; }
+    /// @param service the owner's service; each one has a retry budget of its own.
+    /// @param now the current time.
+    void note_budget_used_up(const std::string& service, steady_time now);
 
     /// Notes that an owner could not be reached; it is avoided for a growing time.
     void note_unreachable(const std::string& address, steady_time now);
@@ -112,14 +113,14 @@
     bool is_near(const owner_record& record) const;
     static bool is_due_for_trial(const owner_view& view, steady_time now);
     static bool is_out_of_date(const owner_view& view, steady_time now);
-    bool has_retry_budget(steady_time now) const;
+    bool has_retry_budget(const std::string& service, steady_time now) const;
     double failure_cost(const owner_wish& wish, steady_time now) const;
     double way_cost(const owner_record& record, double payload_bytes) const;
 
     daemon_location m_location;
     random_engine m_random;
     std::map<std::string, owner_view> m_views;
-    std::optional<steady_time> m_budget_used_up_at;
+    std::map<std::string, steady_time> m_budget_used_up_at; ///< By service.
 };
 
 } // namespace galenaroad
--- a/src/relay/owner_search.cpp
+++ b/src/relay/owner_search.cpp
@@ -78,7 +78,7 @@
                                 steady_time now)
 {
     if (report.reason == owner_reason::no_allowance) {
-        m_ranking.note_budget_used_up(now);
+        m_ranking.note_budget_used_up(m_service, now);
     }
     ++m_refusals;
     ++m_stage_refusals;
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -166,7 +166,7 @@
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
     CHECK(at.choose(order_bytes) == "near");
     // A further attempt would be refused now.
-    at.ranking.note_budget_used_up(at.time.steady_now());
+    at.ranking.note_budget_used_up("orders", at.time.steady_now());
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "near");
 }
 
