Time trials from outcomes, not from refusals

Cause: an owner in doubt is tried when it was last heard of three seconds ago, and each refusal counted as hearing of it. Owners in doubt refuse requests that cannot be sent again, so that each one put off the trial for all daemons of the data centre.

Change: an owner tells how long ago the outcome of a request last showed how its upstream is. Trials are timed from that, and from a trial that the daemon has made itself and whose outcome is not known yet. Reports between daemons keep their format; the datagrams have one more field, and those of another version are ignored. The model of the replays tells the owner's data centre as well, as the daemons do.

Before: "owner_ranking: refusals do not put off the trial of an owner in doubt" failed ("near" in place of "idle").

--- a/src/experiment/relay_experiment.cpp
+++ b/src/experiment/relay_experiment.cpp
@@ -125,7 +125,13 @@
               << of.far_mb / seeds << std::setw(8) << of.floor / seeds << '\n';
 }
 
-void compare(const std::string& path, const world& played, std::uint64_t seeds)
+/// What is played of each replay.
+struct selection {
+    std::uint64_t seeds = 0;
+    std::string version; ///< Empty for all of them.
+};
+
+void compare(const std::string& path, const world& played, const selection& selected)
 {
     auto scenario = replay_scenario::read(path);
     played.change(scenario);
@@ -134,11 +140,14 @@
               << "version           worth   whole   nines  windows    kind  served  refused*"
                  "    held  attempts  wasted  far MB   floor\n";
     for (const auto& version : all_versions()) {
+        if (!selected.version.empty() && version.name != selected.version) {
+            continue;
+        }
         sums total;
-        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        for (std::uint64_t seed = 1; seed <= selected.seeds; ++seed) {
             total.add(relay_replay(scenario, version, seed).run());
         }
-        print_line(version.name, total, static_cast<double>(seeds));
+        print_line(version.name, total, static_cast<double>(selected.seeds));
     }
 }
 
@@ -151,6 +160,7 @@
     options.add_options()("replays", "files with replays",
                           cxxopts::value<std::vector<std::string>>())(
         "seeds", "seeds of each replay", cxxopts::value<std::uint64_t>()->default_value("10"))(
+        "version", "plays this version only", cxxopts::value<std::string>()->default_value(""))(
         "worlds", "also plays worlds that differ by ten times from the recorded one");
     options.parse_positional("replays");
     try {
@@ -161,7 +171,8 @@
         }
         for (const auto& path : given["replays"].as<std::vector<std::string>>()) {
             for (const auto& each : worlds) {
-                compare(path, each, given["seeds"].as<std::uint64_t>());
+                compare(path, each,
+                        {given["seeds"].as<std::uint64_t>(), given["version"].as<std::string>()});
             }
         }
         std::cout << "\nworth: as the users weigh it, without prices; refused*: while an upstream "
--- a/src/experiment/relay_replay.cpp
+++ b/src/experiment/relay_replay.cpp
@@ -352,12 +352,17 @@
 void relay_replay::on_report(const job_ptr& made, const owner_report& report)
 {
     const auto& asked = made->asked;
-    const owner_condition told{report.failing_percent / percent, report.load_percent / percent};
+    owner_condition told{report.failing_percent / percent, report.load_percent / percent};
+    if (report.result != owner_result::not_run) {
+        told.tested_ago = 0ms;
+    }
     for (const auto& each : m_servers) {
         const bool is_told =
             m_version.knowledge != owner_knowledge::none && each->place().index == asked->entry;
-        const bool is_shared = m_version.knowledge == owner_knowledge::shared &&
-                               each->data_centre() == m_servers[asked->entry]->data_centre();
+        // The entry tells its data centre, and the owner that in which it stands.
+        const bool is_near = each->data_centre() == m_servers[asked->entry]->data_centre() ||
+                             each->data_centre() == made->at->data_centre();
+        const bool is_shared = m_version.knowledge == owner_knowledge::shared && is_near;
         if (is_told || is_shared) {
             note_condition(each->place().index, *made->at, told);
         }
--- a/src/relay/condition_message.cpp
+++ b/src/relay/condition_message.cpp
@@ -13,13 +13,21 @@
 constexpr double percent = 100;
 constexpr int max_load_percent = 1'000'000;
 constexpr std::int64_t max_age_ms = 60'000;
-constexpr std::size_t item_fields = 5;
+constexpr std::size_t item_fields = 6;
+
+json tested_ago_to_json(const owner_condition& condition)
+{
+    if (!condition.tested_ago) {
+        return nullptr;
+    }
+    return std::min<std::int64_t>(condition.tested_ago->count(), max_age_ms);
+}
 
 json item_to_json(const condition_item& item)
 {
     return json::array({item.owner, std::lround(item.condition.failing * percent),
                         std::lround(item.condition.load * percent), item.age.count(),
-                        item.condition.takes_work});
+                        item.condition.takes_work, tested_ago_to_json(item.condition)});
 }
 
 bool is_number_up_to(const json& value, std::int64_t greatest)
@@ -33,7 +41,7 @@
     if (!value.is_array() || value.size() != item_fields || !value[0].is_string() ||
         !is_number_up_to(value[1], static_cast<std::int64_t>(percent)) ||
         !is_number_up_to(value[2], max_load_percent) || !is_number_up_to(value[3], max_age_ms) ||
-        !value[4].is_boolean()) {
+        !value[4].is_boolean() || !(value[5].is_null() || is_number_up_to(value[5], max_age_ms))) {
         return {};
     }
     condition_item item;
@@ -41,6 +49,9 @@
     item.condition.failing = value[1].get<int>() / percent;
     item.condition.load = value[2].get<int>() / percent;
     item.condition.takes_work = value[4].get<bool>();
+    if (!value[5].is_null()) {
+        item.condition.tested_ago = std::chrono::milliseconds(value[5].get<std::int64_t>());
+    }
     item.age = std::chrono::milliseconds(value[3].get<std::int64_t>());
     return item;
 }
--- a/src/relay/condition_news.cpp
+++ b/src/relay/condition_news.cpp
@@ -23,7 +23,14 @@
     if (!is_new && found->second.told_at >= told_at) {
         return false;
     }
-    found->second = {condition, told_at, repeats};
+    auto newer = condition;
+    if (!is_new && !newer.tested_ago && found->second.condition.tested_ago) {
+        // A refusal does not make the latest outcome unknown.
+        const auto passed = told_at - found->second.told_at;
+        newer.tested_ago = *found->second.condition.tested_ago +
+                           std::chrono::duration_cast<std::chrono::milliseconds>(passed);
+    }
+    found->second = {newer, told_at, repeats};
     return true;
 }
 
--- a/src/relay/owned_upstream.cpp
+++ b/src/relay/owned_upstream.cpp
@@ -44,6 +44,7 @@
     if (change == lifecycle_change::joined && is_new_start) {
         m_belief = failure_belief(m_policy.failures);
         m_rejecting = failure_belief(m_policy.failures);
+        m_tested_at.reset();
         m_avoided_until = {};
     }
     return change;
@@ -144,6 +145,9 @@
                             run_outcome outcome)
 {
     m_slots.release();
+    if (outcome != run_outcome::inconclusive) {
+        m_tested_at = m_clock.steady_now();
+    }
     if (outcome == run_outcome::rejection) {
         m_rejecting.note_failure(m_clock.steady_now());
     }
@@ -208,6 +212,15 @@
     return static_cast<int>(std::lround(worst * percent));
 }
 
+std::optional<std::chrono::milliseconds> owned_upstream::tested_ago() const
+{
+    if (!m_tested_at) {
+        return {};
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.steady_now() -
+                                                                 *m_tested_at);
+}
+
 int owned_upstream::load_percent() const
 {
     return static_cast<int>(std::lround(m_slots.load() * percent));
--- a/src/relay/owned_upstream.h
+++ b/src/relay/owned_upstream.h
@@ -131,6 +131,10 @@
     /// @return the same once that outcome is noted.
     int failing_percent_after(run_outcome outcome) const;
 
+    /// @return the time since the outcome of a request last showed how the upstream is; nothing
+    /// before the first one.
+    std::optional<std::chrono::milliseconds> tested_ago() const;
+
     /// @return its load in percent of its slots.
     int load_percent() const;
 
@@ -158,7 +162,8 @@
     failure_belief m_rejecting; ///< Rejections cost an attempt but do no harm.
     retry_allowance m_allowance;
     std::uint64_t m_last_ticket = 0;
-    int m_owners = 1; ///< Of the service, as last told.
+    int m_owners = 1;                       ///< Of the service, as last told.
+    std::optional<steady_time> m_tested_at; ///< Latest outcome that is not inconclusive.
     steady_time m_avoided_until;
     bool m_is_stopping = false;
 };
--- a/src/relay/owner_call.cpp
+++ b/src/relay/owner_call.cpp
@@ -151,8 +151,11 @@
     }
     m_report = *report;
     constexpr double percent = 100;
-    const owner_condition condition{report->failing_percent / percent,
-                                    report->load_percent / percent, takes_work(*report)};
+    owner_condition condition{report->failing_percent / percent, report->load_percent / percent,
+                              takes_work(*report), std::nullopt};
+    if (report->result != owner_result::not_run) {
+        condition.tested_ago = 0ms;
+    }
     m_context.heard_condition(owner(), condition);
     m_context.owner_tokens[owner()] = report->token;
     m_context.heard_plan(report->plan_version, owner());
--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -86,9 +86,13 @@
             best_cost = each;
         }
     }
-    if (is_trial_due) {
-        best.trial =
-            has_retry_budget(wish.service, now) ? trial_decision::made : trial_decision::no_budget;
+    if (is_trial_due && !has_retry_budget(wish.service, now)) {
+        best.trial = trial_decision::no_budget;
+    }
+    else if (is_trial_due) {
+        best.trial = trial_decision::made;
+        // Its outcome is not known yet; other requests do not have to find it out as well.
+        m_views[best.record->address].tested_at = now;
     }
     return best;
 }
@@ -106,6 +110,10 @@
                               steady_time told_at)
 {
     auto& view = m_views[address];
+    if (condition.tested_ago || !view.was_told) {
+        const auto tested_at = told_at - condition.tested_ago.value_or(0ms);
+        view.tested_at = std::max(view.tested_at, tested_at);
+    }
     if (view.was_told && view.told_at > told_at) {
         return;
     }
@@ -187,7 +195,7 @@
 
 bool owner_ranking::is_due_for_trial(const owner_view& view, steady_time now)
 {
-    return view.condition.failing > doubtful && now - view.told_at > trial_pause;
+    return view.condition.failing > doubtful && now - view.tested_at > trial_pause;
 }
 
 bool owner_ranking::is_out_of_date(const owner_view& view, steady_time now)
--- a/src/relay/owner_ranking.h
+++ b/src/relay/owner_ranking.h
@@ -5,6 +5,7 @@
 #include "fleet/owner_directory.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -24,6 +25,9 @@
     double load = 0;    ///< Running and waiting requests in relation to its slots.
     /// False while the owner refuses all requests, since it or its upstream is leaving.
     bool takes_work = true;
+    /// Time since the outcome of a request last showed how the upstream is; nothing when the owner
+    /// did not tell. A refusal tells a condition without any new outcome.
+    std::optional<std::chrono::milliseconds> tested_ago = std::nullopt;
 };
 
 /// Conditions beyond which an owner refuses a request.
@@ -103,6 +107,7 @@
     struct owner_view {
         owner_condition condition;
         steady_time told_at;
+        steady_time tested_at; ///< Latest outcome at its upstream, or trial from here.
         bool was_told = false;
         steady_time avoided_until;
         int failed_connections = 0;
--- a/src/relay/owner_reply.cpp
+++ b/src/relay/owner_reply.cpp
@@ -21,7 +21,7 @@
 {
     constexpr double percent = 100;
     return {context.owned.failing_percent() / percent, context.owned.load_percent() / percent,
-            context.owned.takes_work()};
+            context.owned.takes_work(), context.owned.tested_ago()};
 }
 
 http_response_head owner_reply::not_run(const relay_context& context, owner_reason reason,
--- a/src/tests/condition_message_test.cpp
+++ b/src/tests/condition_message_test.cpp
@@ -12,7 +12,7 @@
 {
     std::vector<condition_item> items;
     for (std::size_t each = 0; each < condition_news::max_items; ++each) {
-        items.push_back({"255.255.255.255:65535", {0.99, 12.5, false}, 1999ms});
+        items.push_back({"255.255.255.255:65535", {0.99, 12.5, false, 60000ms}, 1999ms});
     }
     return items;
 }
@@ -32,6 +32,11 @@
     CHECK(read->front().condition.load == Approx(12.5));
     CHECK_FALSE(read->front().condition.takes_work);
     CHECK(read->front().age == 1999ms);
+    CHECK(read->front().condition.tested_ago == 60000ms);
+    const auto untested =
+        condition_message::decode(condition_message::encode({{"127.0.0.1:1", {0.5, 1}, 0ms}}));
+    REQUIRE(untested);
+    CHECK_FALSE(untested->front().condition.tested_ago);
 }
 
 TEST_CASE("condition_message: other bytes are no message", "[relay]")
--- a/src/tests/condition_news_test.cpp
+++ b/src/tests/condition_news_test.cpp
@@ -69,3 +69,17 @@
     at.time.advance(3s);
     CHECK(at.news.take(at.time.steady_now()).empty());
 }
+
+TEST_CASE("condition_news: a refusal keeps the time of the latest outcome", "[relay]")
+{
+    // Guards against daemons that do not learn of an outcome, because a refusal came before it was
+    // told, and so try an owner in doubt too late or too soon.
+    fixture at;
+    at.news.note("a", {0.9, 0, true, 100ms}, at.time.steady_now());
+    at.time.advance(200ms);
+    at.note("a", 0.8);
+    const auto items = at.news.take(at.time.steady_now());
+    REQUIRE(items.size() == 1);
+    CHECK(items[0].condition.failing == 0.8);
+    CHECK(items[0].condition.tested_ago == 300ms);
+}
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -170,6 +170,21 @@
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "near");
 }
 
+TEST_CASE("owner_ranking: refusals do not put off the trial of an owner in doubt", "[relay]")
+{
+    // Guards against incident 1623: an owner of orders refused requests for doubt, each refusal
+    // counted as news of its upstream, and the upstream got no request for seven seconds.
+    fixture at;
+    at.add("idle", "ash-a", "ash");
+    constexpr bool may_repeat = true;
+    at.ranking.note_news("idle", {0.95, 0}, at.time.steady_now());
+    at.time.advance(2s);
+    at.ranking.note_condition("idle", {0.6, 0}, at.time.steady_now());
+    at.time.advance(1200ms);
+    at.ranking.note_news("near", {0.01, 0}, at.time.steady_now());
+    CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
+}
+
 TEST_CASE("owner_ranking: an owner that goes on failing costs few requests", "[relay]")
 {
     // Guards against a request a second that meets an upstream which has failed for a minute.
