Try an owner in doubt two seconds after its latest outcome

Cause: trials are made by requests that can be sent again. For orders these are calls of lookups, and most lookups were refused: after a pause of three seconds the next call often came too late.

Change: the pause is two seconds. An owner that has been in doubt for twelve seconds is tried every 3.5 s, so that one which fails for a minute still gets no more than twenty trials ("an owner that goes on failing costs few requests", unchanged). The check of the used up budget in "requests that can be sent again try owners that failed" waits until the next trial is due, since the trial before it would hide what it checks.

Before: "owner_ranking: a failed owner is tried with time left for a rare request" fails with a pause of three seconds.

--- a/src/relay/owner_ranking.cpp
+++ b/src/relay/owner_ranking.cpp
@@ -21,9 +21,12 @@
 // What was known of an owner of this data centre is out of date after this time: a request that can
 // be sent again finds out, so that no sound upstream is left without work.
 constexpr auto overdue_age = 700ms;
-// A doubtful one is tried again after this time: often enough that it is not idle for long after it
-// has recovered, and rarely enough that one which goes on failing costs few requests.
-constexpr auto trial_pause = 3s;
+// A doubtful one is tried this long after the latest outcome: requests that can be sent again may
+// be rare, and one that has recovered must not be idle until the next of them comes.
+constexpr auto trial_pause = 2s;
+// One that has been in doubt for long most likely goes on failing, and then costs fewer requests.
+constexpr auto long_doubt = 12s;
+constexpr auto long_trial_pause = 3500ms;
 constexpr double trial_priority = 1;
 constexpr double doubtful = 0.4;
 constexpr double load_cost = 0.15;
@@ -120,6 +123,12 @@
     view.condition = condition;
     view.told_at = told_at;
     view.was_told = true;
+    if (condition.failing <= doubtful) {
+        view.in_doubt_since.reset();
+    }
+    else if (!view.in_doubt_since) {
+        view.in_doubt_since = told_at;
+    }
 }
 
 void owner_ranking::note_budget_used_up(const std::string& service, steady_time now)
@@ -195,12 +204,17 @@
 
 bool owner_ranking::is_due_for_trial(const owner_view& view, steady_time now)
 {
-    return view.condition.failing > doubtful && now - view.tested_at > trial_pause;
+    if (!view.in_doubt_since) {
+        return false;
+    }
+    const bool is_long_doubt = now - *view.in_doubt_since > long_doubt;
+    const std::chrono::nanoseconds pause = is_long_doubt ? long_trial_pause : trial_pause;
+    return now - view.tested_at > pause;
 }
 
 bool owner_ranking::is_out_of_date(const owner_view& view, steady_time now)
 {
-    return view.condition.failing <= doubtful && now - view.told_at > overdue_age;
+    return !view.in_doubt_since && now - view.told_at > overdue_age;
 }
 
 bool owner_ranking::has_retry_budget(const std::string& service, steady_time now) const
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -166,8 +166,13 @@
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
     CHECK(at.choose(order_bytes) == "near");
     // A further attempt would be refused now.
+    at.time.advance(2400ms);
+    at.ranking.note_news("near", {0.01, 0}, at.time.steady_now());
     at.ranking.note_budget_used_up("orders", at.time.steady_now());
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "near");
+    at.time.advance(1100ms);
+    at.ranking.note_news("near", {0.01, 0}, at.time.steady_now());
+    CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
 }
 
 TEST_CASE("owner_ranking: refusals do not put off the trial of an owner in doubt", "[relay]")
@@ -185,6 +190,20 @@
     CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
 }
 
+TEST_CASE("owner_ranking: a failed owner is tried with time left for a rare request", "[relay]")
+{
+    // Guards against incident 1623: the calls that could try owners of orders came once in a second
+    // or two, and the upstream has to have one within four seconds of its failure.
+    fixture at;
+    at.add("idle", "ash-a", "ash");
+    constexpr bool may_repeat = true;
+    at.ranking.note_news("idle", {0.95, 0, true, 0ms}, at.time.steady_now());
+    at.time.advance(2100ms);
+    at.ranking.note_news("near", {0.01, 0}, at.time.steady_now());
+    CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "idle");
+    CHECK(at.choose(order_bytes, {}, {}, may_repeat) == "near");
+}
+
 TEST_CASE("owner_ranking: an owner that goes on failing costs few requests", "[relay]")
 {
     // Guards against a request a second that meets an upstream which has failed for a minute.
