Answer unfinished requests before a stopped process ends

Suspected cause: a daemon ended at its stop time, 5.25 s after the signal, with a request or two of clients unfinished, and closed their connections.

Change: at the stop time each unfinished request of a client is answered with what is known: the response of an earlier attempt, 503 when no upstream can have received it, 502 or 504 otherwise. The process ends once this is sent, 200 ms later at the latest. A response that is being passed on is broken off as before.

Before: "relay_node: a process that ends answers what is not finished" failed (status 0 in place of 502).

--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -381,6 +381,25 @@
         });
         return;
     }
+    give_up_now();
+}
+
+void entry_exchange::finish_now()
+{
+    if (m_ended) {
+        return;
+    }
+    if (m_stream) {
+        m_stream->abort();
+        note_answered(0, "stopped");
+        return;
+    }
+    give_up_now();
+}
+
+// What is still under way may have run.
+void entry_exchange::give_up_now()
+{
     if (m_current && !m_current->has_ended()) {
         m_execution = execution::perhaps;
     }
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -24,6 +24,9 @@
     /// Starts to handle the request.
     void start();
 
+    /// Answers at once with what is known, because the daemon ends.
+    void finish_now();
+
 private:
     /// Why no service is known for a request.
     enum class route_error {
@@ -70,6 +73,7 @@
     bool another_may_follow() const;
     void deliver();
     void give_up();
+    void give_up_now();
     void refuse(route_error error);
     void answer(int status, const char* reason);
     void note_answered(int status, const char* reason);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -19,6 +19,8 @@
 // Clients are told by the readiness check, which asks once a second and counts two misses.
 constexpr auto least_stop_time = 2500ms;
 constexpr auto stop_check_interval = 50ms;
+// Answers that are given at the end of the stop time leave within it, or not at all.
+constexpr auto longest_flush = 200ms;
 // Requests that cross the closing of their connection are not sent again by everyone, so the
 // clients' connections stay open until they have been told.
 constexpr auto closing_delay = 1500ms;
@@ -450,16 +452,34 @@
 void relay_node::check_stopped()
 {
     const auto elapsed = m_context.now() - m_stopping_since;
-    const bool is_idle = m_entries.empty() && m_owned_requests.empty() &&
-                         !m_entry_server.has_output() && !m_peer_server.has_output();
-    if (elapsed >= m_settings.stop_time || (is_idle && elapsed >= least_stop_time)) {
-        m_parts.log.note_state(
-            "stopped",
-            {{"unfinished", std::to_string(m_entries.size() + m_owned_requests.size())}});
+    const bool is_over = elapsed >= m_settings.stop_time;
+    if (is_over) {
+        answer_unfinished();
+    }
+    const bool is_idle = m_entries.empty() && m_owned_requests.empty();
+    const bool may_end = is_over || (is_idle && elapsed >= least_stop_time);
+    const bool has_waited = elapsed >= m_settings.stop_time + longest_flush;
+    if (may_end && (!has_output() || has_waited)) {
+        m_parts.log.note_state("stopped", {{"unfinished", std::to_string(m_unfinished)}});
         m_on_stopped();
         return;
     }
     m_parts.loop.after(stop_check_interval, [this] { check_stopped(); });
 }
 
+// A client that only sees its connection close cannot tell what became of its request.
+void relay_node::answer_unfinished()
+{
+    m_unfinished = std::max(m_unfinished, m_entries.size() + m_owned_requests.size());
+    const auto unfinished = m_entries;
+    for (const auto& each : unfinished) {
+        each->finish_now();
+    }
+}
+
+bool relay_node::has_output()
+{
+    return m_entry_server.has_output() || m_peer_server.has_output();
+}
+
 } // namespace galenaroad
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -28,7 +28,8 @@
     std::size_t max_connections = 3000;
     /// Bodies of requests that are held at once, for clients and for peers each.
     std::size_t max_body_memory = std::size_t{64} * 1024 * 1024;
-    std::chrono::milliseconds stop_time{5000}; ///< Longest time from stop() to the end.
+    /// Longest time from stop() until what is not finished is answered; the end follows at once.
+    std::chrono::milliseconds stop_time{5000};
     /// From the first heartbeat of the owned upstream until the store is asked who else is there.
     /// When all daemons start together, the others announce themselves within this time.
     std::chrono::milliseconds first_list_delay{0};
@@ -106,6 +107,8 @@
     void refuse_hopeless();
     void run_waiting();
     void check_stopped();
+    void answer_unfinished();
+    bool has_output();
     peer_sync::hooks make_sync_hooks();
 
     relay_parts m_parts;
@@ -125,6 +128,7 @@
     std::vector<waiting_acknowledgement> m_acknowledgements;
     owner_record m_published;
     steady_time m_stopping_since;
+    std::size_t m_unfinished = 0; ///< Requests under way when the stop time was over.
     std::function<void()> m_on_stopped;
     bool m_has_heartbeat = false; ///< Of the owned upstream, since the start.
     bool m_asks_for_neighbours = false;
--- a/src/tests/relay_node_test.cpp
+++ b/src/tests/relay_node_test.cpp
@@ -325,6 +325,31 @@
     CHECK(fleet.b->upstream.seen.size() == 2);
 }
 
+TEST_CASE("relay_node: a process that ends answers what is not finished", "[relay]")
+{
+    // Guards against scale-1 on brazos-wheelworks-grown (LOST): the process ended with a request
+    // that got neither an answer nor a refusal.
+    relay_test_fleet fleet;
+    fleet.b->announce();
+    fleet.b->upstream.answer = [](auto&) {};
+    fleet.client_time = 15s;
+    relay_answer seen;
+    client_hooks hooks;
+    hooks.head = [&](const auto& head) { seen.status = head.status; };
+    hooks.body = [](std::string_view) {};
+    hooks.complete = [] {};
+    hooks.failed = [&](exchange_fault) { seen.is_broken = true; };
+    const auto call = fleet.client.send(fleet.a->entry_address, fleet.request("GET", "/download/x"),
+                                        std::move(hooks));
+    fleet.run_for(100ms);
+    bool has_stopped = false;
+    fleet.a->node.stop([&] { has_stopped = true; });
+    fleet.run_for(5500ms);
+    CHECK(has_stopped);
+    CHECK(seen.status == 502);
+    CHECK_FALSE(seen.is_broken);
+}
+
 TEST_CASE("relay_node: a request that no upstream accepted has not run", "[relay]")
 {
     // Guards against "outcome unknown" for orders whose upstream has ended: 785 answers 502 or 504
