Take slow requests for failures only where service times are known

Cause, as far as it was traced: before a route has answers, its service time is taken as 200 ms, and a request counts as a failure after 800 ms. Orders take a second on average there, half of them longer than 800 ms. Besides, the first answers are those of the shortest requests, some of 2 ms, and the average kept that for the next ten answers. So most upstreams were in doubt after their first slow request and refused orders until a trial, also when that request had succeeded.

Change: until a route has had sixteen answers, a request is not overdue before its goal; the first answers count equally in the average.

--- a/src/relay/owned_upstream.cpp
+++ b/src/relay/owned_upstream.cpp
@@ -18,6 +18,9 @@
 // Routes whose service times are kept apart; more are learned anew.
 constexpr std::size_t max_routes = 512;
 constexpr double route_service_weight = 0.15;
+// The first answers of a route are those of its short requests, so that their average says little
+// of how long the others take.
+constexpr int representative_answers = 16;
 constexpr auto least_overdue_time = 800ms;
 constexpr auto least_retry_after = 200ms;
 
@@ -168,10 +171,10 @@
     if (m_route_service.size() >= max_routes && m_route_service.count(route) == 0) {
         m_route_service.clear();
     }
-    const auto [known, is_new] = m_route_service.try_emplace(route, time);
-    if (!is_new) {
-        known->second += (time - known->second) * route_service_weight;
-    }
+    auto& known = m_route_service[route];
+    ++known.answers;
+    const double weight = std::max(route_service_weight, 1.0 / known.answers);
+    known.average += (time - known.average) * weight;
 }
 
 void owned_upstream::note_overdue()
@@ -232,13 +235,17 @@
     if (found == m_route_service.end()) {
         return m_slots.mean_service();
     }
-    return std::chrono::duration_cast<std::chrono::milliseconds>(found->second);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(found->second.average);
 }
 
-std::chrono::milliseconds owned_upstream::overdue_time(const std::string& route) const
+std::chrono::milliseconds owned_upstream::overdue_time(const std::string& route,
+                                                       std::chrono::milliseconds goal) const
 {
-    return std::max<std::chrono::milliseconds>(expected_service(route) * overdue_factor,
-                                               least_overdue_time);
+    const auto found = m_route_service.find(route);
+    const bool is_known =
+        found != m_route_service.end() && found->second.answers >= representative_answers;
+    return std::max({expected_service(route) * overdue_factor,
+                     std::chrono::milliseconds(least_overdue_time), is_known ? 0ms : goal});
 }
 
 } // namespace galenaroad
--- a/src/relay/owned_upstream.h
+++ b/src/relay/owned_upstream.h
@@ -138,8 +138,12 @@
     /// @return its load in percent of its slots.
     int load_percent() const;
 
-    /// @return the time after which a running request of a route is overdue.
-    std::chrono::milliseconds overdue_time(const std::string& route) const;
+    /// @param route the request's route.
+    /// @param goal the time until the request's goal, which bounds what is known of a route that
+    /// has had few answers.
+    /// @return the time after which a running request is overdue.
+    std::chrono::milliseconds overdue_time(const std::string& route,
+                                           std::chrono::milliseconds goal) const;
 
     /// @return the average time in which a request of a route holds a slot; that of all requests
     /// for a route that is not known.
@@ -149,6 +153,12 @@
     std::chrono::milliseconds mean_service() const { return m_slots.mean_service(); }
 
 private:
+    /// Service times of one route's requests that were answered.
+    struct route_service {
+        std::chrono::duration<double> average{0};
+        int answers = 0;
+    };
+
     owner_reason refusal_of(const relay_order& order) const;
     void note_service(const std::string& route, std::chrono::nanoseconds served);
     owner_decision refused(owner_reason reason) const;
@@ -157,7 +167,7 @@
     owner_policy m_policy;
     upstream_lifecycle m_lifecycle;
     slot_admission m_slots;
-    std::map<std::string, std::chrono::duration<double>> m_route_service; ///< Averages.
+    std::map<std::string, route_service> m_route_service; ///< By route.
     failure_belief m_belief;
     failure_belief m_rejecting; ///< Rejections cost an attempt but do no harm.
     retry_allowance m_allowance;
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -171,8 +171,8 @@
         return;
     }
     send();
-    arm(std::min<std::chrono::nanoseconds>(m_context.owned.overdue_time(m_order.route),
-                                           m_deadline - m_sent_at + answer_grace),
+    const auto overdue = m_context.owned.overdue_time(m_order.route, m_order.goal_remaining);
+    arm(std::min<std::chrono::nanoseconds>(overdue, m_deadline - m_sent_at + answer_grace),
         &owner_exchange::on_overdue);
 }
 
--- a/src/tests/owned_upstream_test.cpp
+++ b/src/tests/owned_upstream_test.cpp
@@ -268,3 +268,20 @@
     CHECK(failing.owned.grant_attempt());
     CHECK_FALSE(failing.owned.grant_attempt());
 }
+
+TEST_CASE("owned_upstream: slow requests are no failures before service times are known", "[relay]")
+{
+    // Guards against FLOOR on tvw-mesh-grown in the first seconds of traffic: requests of a second
+    // were overdue after 800 ms, so that most sound upstreams of the service were in doubt.
+    fixture at;
+    CHECK(at.owned.overdue_time("r", 4s) == 4s);
+    for (int request = 0; request < 8; ++request) {
+        at.run(run_outcome::success);
+    }
+    CHECK(at.owned.overdue_time("r", 4s) == 4s);
+    for (int request = 0; request < 8; ++request) {
+        at.run(run_outcome::success);
+    }
+    CHECK(at.owned.overdue_time("r", 4s) == 800ms);
+    CHECK(at.owned.overdue_time("other", 3s) == 3s);
+}
