Find the route of a request in a class of its own

The rule, the service and the times of a request are now in entry_route; the exchange keeps the attempts. No change of what is done; the error's status and name are told by two functions in place of a switch over calls.

--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -5,7 +5,6 @@
 #include "telemetry/duration_text.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <algorithm>
 
 namespace galenaroad {
 
@@ -28,80 +27,36 @@
     : m_context(context),
       m_client(std::move(client)),
       m_on_end(std::move(on_end)),
-      m_plan(context.plan),
       m_request_id(http_head::find(m_client->head().fields, context.names.request_id).value_or("")),
+      m_route(context.plan),
       m_search(context.directory, context.ranking)
 {
 }
 
 void entry_exchange::start()
 {
-    const auto error = find_route();
+    const auto error = m_route.find(m_context, *m_client);
     if (error) {
-        refuse(*error);
+        answer(status_of(*error), route_error_name(*error));
         return;
     }
+    const auto body_bytes = static_cast<double>(m_client->body().size());
+    m_search.begin(m_route.service(), m_context.sizes.expected(rule()) + body_bytes);
     const std::weak_ptr<entry_exchange> weak = weak_from_this();
     m_client->on_gone([weak] {
         if (const auto self = weak.lock()) {
             self->on_client_gone();
         }
     });
-    m_deadline_timer = m_context.loop.after(m_deadline - m_context.now() - answer_margin, [weak] {
-        if (const auto self = weak.lock()) {
-            self->on_deadline();
-        }
-    });
+    m_deadline_timer =
+        m_context.loop.after(m_route.deadline() - m_context.now() - answer_margin, [weak] {
+            if (const auto self = weak.lock()) {
+                self->on_deadline();
+            }
+        });
     try_next();
 }
 
-std::optional<entry_exchange::route_error> entry_exchange::find_route()
-{
-    if (!m_plan) {
-        return route_error::no_plan;
-    }
-    const auto& head = m_client->head();
-    m_route = m_plan->match(http_head::find(head.fields, "Host").value_or(""), head.target);
-    if (m_route == nullptr) {
-        // The route may be one that could not be read.
-        return m_plan->plan().has_all_routes ? route_error::no_route : route_error::not_served;
-    }
-    if (m_route->targets.empty()) {
-        return route_error::not_served;
-    }
-    const auto told =
-        http_head::number(http_head::find(head.fields, m_context.names.remaining_ms).value_or(""));
-    const auto longest = static_cast<std::uint64_t>(m_route->timeout.count());
-    const std::chrono::milliseconds allowed(std::min(told.value_or(longest), longest));
-    m_deadline = m_client->received_at() + allowed;
-    m_goal = m_client->received_at() + std::min(allowed, m_route->latency_goal);
-    if (m_context.ends_at && *m_context.ends_at < m_goal) {
-        return route_error::stopping;
-    }
-    m_service = m_context.splits.choose(*m_route);
-    const auto body_bytes = static_cast<double>(m_client->body().size());
-    m_search.begin(m_service, m_context.sizes.expected(*m_route) + body_bytes);
-    return {};
-}
-
-void entry_exchange::refuse(route_error error)
-{
-    switch (error) {
-    case route_error::no_plan:
-        answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "no_plan");
-        break;
-    case route_error::no_route:
-        answer(HTTPResponse::HTTP_NOT_FOUND, "no_route");
-        break;
-    case route_error::stopping:
-        answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "stopping");
-        break;
-    case route_error::not_served:
-        answer(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "route_not_served");
-        break;
-    }
-}
-
 void entry_exchange::try_next()
 {
     m_context.loop.cancel(m_attempt_timer);
@@ -121,7 +76,8 @@
 void entry_exchange::note_trial()
 {
     if (m_search.trial() != trial_decision::none_due) {
-        m_context.metrics.note_trial(m_service, std::string(trial_decision_name(m_search.trial())));
+        m_context.metrics.note_trial(m_route.service(),
+                                     std::string(trial_decision_name(m_search.trial())));
     }
 }
 
@@ -177,20 +133,20 @@
 {
     relay_order order;
     order.attempt_id = m_context.new_attempt_id();
-    order.service = m_service;
-    order.route = m_route->name;
+    order.service = m_route.service();
+    order.route = rule().name;
     order.caller_service = m_context.own_service;
     order.entry_address = m_context.location.address;
     const bool is_far = owner.region != m_context.location.region;
     order.remaining = remaining() - (is_far ? far_owner_margin : owner_margin);
-    order.kind = m_route->kind;
+    order.kind = rule().kind;
     order.attempt = m_attempts + 1;
-    order.may_repeat = m_attempts + 1 < m_route->max_attempts;
+    order.may_repeat = m_attempts + 1 < rule().max_attempts;
     order.is_granted = m_has_grant;
-    order.priority = m_route->priority;
-    order.plan_version = m_plan->plan().version;
+    order.priority = rule().priority;
+    order.plan_version = m_route.plan_version();
     order.goal_remaining =
-        std::chrono::duration_cast<std::chrono::milliseconds>(m_goal - m_context.now());
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_route.goal() - m_context.now());
     order.may_wait = m_search.stage() == search_stage::waiting;
     return order;
 }
@@ -419,14 +375,13 @@
 bool entry_exchange::another_may_follow() const
 {
     const bool is_proved_not_run = m_execution == execution::not_run;
-    return (is_idempotent(m_route->kind) || is_proved_not_run) &&
-           m_attempts < m_route->max_attempts;
+    return (is_idempotent(rule().kind) || is_proved_not_run) && m_attempts < rule().max_attempts;
 }
 
 // Tells whether the attempt that is being made may be followed by another one.
 bool entry_exchange::may_repeat() const
 {
-    return is_idempotent(m_route->kind) && m_attempts + 1 < m_route->max_attempts;
+    return is_idempotent(rule().kind) && m_attempts + 1 < rule().max_attempts;
 }
 
 void entry_exchange::give_up()
@@ -450,18 +405,18 @@
 void entry_exchange::deliver()
 {
     const bool has_run = m_execution == execution::perhaps;
-    if (has_run && !is_idempotent(m_route->kind) && promises_not_run(m_kept.head.status)) {
+    if (has_run && !is_idempotent(rule().kind) && promises_not_run(m_kept.head.status)) {
         // The status would promise that the request has not run.
         m_kept.is_valid = false;
         answer(HTTPResponse::HTTP_BAD_GATEWAY, "misleading_status");
         return;
     }
-    m_context.sizes.note(*m_route, m_kept.body.size());
+    m_context.sizes.note(rule(), m_kept.body.size());
     m_client->respond(entry_reply::delivered(m_kept.head), m_kept.body);
     note_answered(m_kept.head.status, "delivered");
 }
 
-void entry_exchange::answer(int status, const char* reason)
+void entry_exchange::answer(int status, std::string_view reason)
 {
     const bool is_not_run = status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
     auto head = is_not_run
@@ -471,20 +426,20 @@
     note_answered(status, reason);
 }
 
-void entry_exchange::note_answered(int status, const char* reason)
+void entry_exchange::note_answered(int status, std::string_view reason)
 {
     const auto elapsed = m_context.now() - m_client->received_at();
     if (is_from_own_instance() && (status == 0 || status >= HTTPResponse::HTTP_BAD_REQUEST)) {
         m_context.local_failure_at = m_context.now();
     }
-    m_context.metrics.note_answer(m_service, status, elapsed);
+    m_context.metrics.note_answer(m_route.service(), status, elapsed);
     m_context.log.note(
         "entry", m_request_id,
         {{"status", std::to_string(status)},
-         {"reason", reason},
-         {"route", m_route == nullptr ? "" : m_route->name},
-         {"service", m_service},
-         {"plan", std::to_string(m_plan ? m_plan->plan().version : 0)},
+         {"reason", std::string(reason)},
+         {"route", m_route.rule() == nullptr ? "" : rule().name},
+         {"service", m_route.service()},
+         {"plan", std::to_string(m_route.plan_version())},
          {"owner", m_current ? m_current->owner() : ""},
          {"attempts", std::to_string(m_attempts)},
          {"refusals", std::to_string(m_search.refusals())},
@@ -492,7 +447,7 @@
           std::string(reason_name(m_current ? m_current->report().reason : owner_reason::none))},
          {"stage", std::to_string(static_cast<int>(m_search.stage()))},
          {"trial", std::string(trial_decision_name(m_search.trial()))},
-         {"known_owners", std::to_string(m_context.directory.ready_for(m_service).size())},
+         {"known_owners", std::to_string(m_context.directory.ready_for(m_route.service()).size())},
          {"elapsed_ms", ms_text(elapsed)}});
     end();
 }
@@ -518,7 +473,8 @@
 
 std::chrono::milliseconds entry_exchange::remaining() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - m_context.now());
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_route.deadline() -
+                                                                 m_context.now());
 }
 
 } // namespace galenaroad
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -1,13 +1,14 @@
 #pragma once
 
 #include "net/http_server.h"
+#include "relay/entry_route.h"
 #include "relay/owner_call.h"
 #include "relay/owner_search.h"
 #include "relay/relay_context.h"
 #include "relay/response_stream.h"
 
 #include <memory>
-#include <optional>
+#include <string_view>
 
 namespace galenaroad {
 
@@ -28,14 +29,6 @@
     void finish_now();
 
 private:
-    /// Why no service is known for a request.
-    enum class route_error {
-        no_plan,
-        no_route,   ///< No route begins its path.
-        not_served, ///< The plan does not tell, or not readably, which service runs it.
-        stopping,   ///< The daemon most likely ends before the request would.
-    };
-
     /// What is known of the execution of the request so far.
     enum class execution { not_run, perhaps };
 
@@ -48,8 +41,6 @@
         bool is_valid = false;
     };
 
-    /// @return the error to answer with, or nothing when the request can be served.
-    std::optional<route_error> find_route();
     void try_next();
     void note_trial();
     void send_to(const owner_record& owner);
@@ -74,22 +65,19 @@
     void deliver();
     void give_up();
     void give_up_now();
-    void refuse(route_error error);
-    void answer(int status, const char* reason);
-    void note_answered(int status, const char* reason);
+    void answer(int status, std::string_view reason);
+    void note_answered(int status, std::string_view reason);
     void end();
+    /// The rule of the request's route, which has been found.
+    const route_rule& rule() const { return *m_route.rule(); }
     bool is_from_own_instance() const;
     std::chrono::milliseconds remaining() const;
 
     relay_context& m_context;
     std::shared_ptr<server_exchange> m_client;
     std::function<void(entry_exchange&)> m_on_end;
-    std::shared_ptr<const plan_index> m_plan; ///< Keeps the route alive.
-    const route_rule* m_route = nullptr;
     std::string m_request_id;
-    std::string m_service;
-    steady_time m_deadline;
-    steady_time m_goal; ///< An answer that is complete by then is worth most.
+    entry_route m_route;
     call_ptr m_current; ///< The latest attempt, also after its end; null before the first.
     call_ptr m_earlier; ///< A slow attempt that goes on beside the current one, or null.
     owner_search m_search;
--- /dev/null
+++ b/src/relay/entry_route.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "net/http_server.h"
+#include "relay/relay_context.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenaroad {
+
+/// Why no service is known for a request.
+enum class route_error {
+    no_plan,
+    no_route,   ///< No route begins its path.
+    not_served, ///< The plan does not tell, or not readably, which service runs it.
+    stopping,   ///< The daemon most likely ends before the request would.
+};
+
+/// @return the error's name in logs.
+std::string_view route_error_name(route_error error);
+
+/// @return the status that a client gets for the error.
+int status_of(route_error error);
+
+/// What the plan tells about one request of a client: its route, the service that runs it and the
+/// times by which it should and must be answered.
+class entry_route {
+public:
+    /// @param plan the plan in force, or null.
+    explicit entry_route(std::shared_ptr<const plan_index> plan);
+
+    /// Finds the route of a request and chooses its service.
+    /// @param context shared state.
+    /// @param client the request.
+    /// @return the error to answer with, or nothing when the request can be served.
+    std::optional<route_error> find(relay_context& context, const server_exchange& client);
+
+    /// @return the route's rule; null without a route. Valid as long as this object.
+    const route_rule* rule() const { return m_rule; }
+
+    /// @return the service that runs the request; empty after an error.
+    const std::string& service() const { return m_service; }
+
+    /// @return when the request must be answered; valid without an error.
+    steady_time deadline() const { return m_deadline; }
+
+    /// @return by when an answer is worth most; valid without an error.
+    steady_time goal() const { return m_goal; }
+
+    /// @return the plan's version; 0 without one.
+    std::uint64_t plan_version() const { return m_plan ? m_plan->plan().version : 0; }
+
+private:
+    std::shared_ptr<const plan_index> m_plan; ///< Keeps the rule alive.
+    const route_rule* m_rule = nullptr;
+    std::string m_service;
+    steady_time m_deadline;
+    steady_time m_goal;
+};
+
+} // namespace galenaroad
