--- a/src/relay/owner_ranking.h
+++ b/src/relay/owner_ranking.h
@@ -107,7 +107,7 @@
     struct owner_view {
         owner_condition condition;
         steady_time told_at;
-        std::optional<steady_time> in_doubt_since;
+        std::optional<steady_time> in_doubt_since; ///< Nothing while it is not in doubt.
         steady_time tested_at; ///< Latest outcome at its upstream, or trial from here.
         bool was_told = false;
         steady_time avoided_until;
