--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -175,7 +175,7 @@
             continue;
         }
         m_followed[address].follower = std::make_unique<peer_follower>(
-            m_context, address, [this](const auto& state) { take_state(state); });
+            m_context, address, [this, address](const auto& state) { take_state(state, address); });
     }
 }
 
@@ -210,13 +210,13 @@
     return addresses;
 }
 
-void peer_sync::take_state(const peer_state& state)
+void peer_sync::take_state(const peer_state& state, const std::string& peer)
 {
     if (!state.owners.empty()) {
         m_hooks.owners(state.owners);
     }
     if (state.plan) {
-        m_hooks.plan(*state.plan);
+        m_hooks.plan(*state.plan, peer);
     }
     if (state.is_complete) {
         m_hooks.owners_complete();
@@ -235,7 +235,11 @@
         m_contacts.insert(address);
     }
     const auto known = std::max(m_context.plan_version(), m_context.unreadable_plan_version);
-    if (version > known && !m_call) {
+    if (version <= known) {
+        return;
+    }
+    m_context.metrics.note_heard_plan(m_call ? "dropped" : "asked");
+    if (!m_call) {
         ask(address);
     }
 }
@@ -283,7 +287,7 @@
             m_context.log.note_state("peer_answer_unreadable", {{"peer", m_asked}});
             return;
         }
-        take_state(*state);
+        take_state(*state, m_asked);
     };
     reactions.failed = [this](exchange_fault) {
         const auto held = std::move(m_call);
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -26,7 +26,8 @@
 public:
     /// Reactions to what is decided and to what peers tell.
     struct hooks {
-        std::function<void(plan_document)> plan;
+        /// A peer has told a plan; the second argument is the peer's address.
+        std::function<void(plan_document, const std::string& peer)> plan;
         std::function<void(const std::vector<owner_record>&)> owners;
         std::function<void()> owners_complete; ///< A peer that knows all owners has told them.
         std::function<void(bool)> follow_store;
@@ -86,7 +87,7 @@
     reader_view view() const;
     bool is_before(const std::string& address) const;
     std::vector<std::string> fresh_sources() const;
-    void take_state(const peer_state& state);
+    void take_state(const peer_state& state, const std::string& peer);
     void ask(const std::string& address);
     std::string any_peer();
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -71,6 +71,25 @@
         .Increment();
 }
 
+void relay_metrics::note_plan(std::uint64_t version, const std::string& source)
+{
+    m_registry.gauge("galenaroad_plan_version", "Version of the plan in force.", {})
+        .Set(static_cast<double>(version));
+    m_registry
+        .counter("galenaroad_plans_taken_total", "Plans that came into force, by their source.",
+                 {{"source", source}})
+        .Increment();
+}
+
+void relay_metrics::note_heard_plan(const std::string& decision)
+{
+    m_registry
+        .counter("galenaroad_heard_plans_total",
+                 "Newer plans of which a peer has told, by whether it was asked for them.",
+                 {{"decision", decision}})
+        .Increment();
+}
+
 void relay_metrics::note_plan_faults(std::size_t count)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -3,6 +3,7 @@
 #include "telemetry/metrics_registry.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -50,6 +51,15 @@
     /// @param outcome `sent`, `received`, `unreadable` or `not_sent`.
     void note_condition_message(const std::string& outcome);
 
+    /// Notes a plan that has come into force.
+    /// @param version its version.
+    /// @param source `store` or `peer`.
+    void note_plan(std::uint64_t version, const std::string& source);
+
+    /// Notes that a peer has told the version of a newer plan.
+    /// @param decision `asked`, or `dropped` while another peer is being asked.
+    void note_heard_plan(const std::string& decision);
+
     /// Notes the number of faults of the plan in force.
     void note_plan_faults(std::size_t count);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -14,6 +14,8 @@
 
 using namespace std::chrono_literals;
 
+// Names the store where the address of a peer would stand.
+constexpr const char* store_source = "store";
 // A change is kept in the store before it is acknowledged, unless the store takes longer.
 constexpr auto longest_acknowledgement_wait = 600ms;
 // Clients are told by the readiness check, which asks once a second and counts two misses.
@@ -123,7 +125,9 @@
 peer_sync::hooks relay_node::make_sync_hooks()
 {
     peer_sync::hooks hooks;
-    hooks.plan = [this](plan_document document) { take_plan(std::move(document)); };
+    hooks.plan = [this](plan_document document, const std::string& peer) {
+        take_plan(std::move(document), peer);
+    };
     hooks.owners = [this](const auto& records) { take_owners(records); };
     hooks.owners_complete = [this] { note_all_owners(); };
     hooks.follow_store = [this](bool follows) {
@@ -154,7 +158,7 @@
 void relay_node::follow_store()
 {
     fleet_store::hooks hooks;
-    hooks.plan = [this](plan_document document) { take_plan(std::move(document)); };
+    hooks.plan = [this](plan_document document) { take_plan(std::move(document), store_source); };
     hooks.owners = [this](const auto& records) { take_owners(records); };
     hooks.owner_removed = [this](const std::string& address) {
         if (address != m_settings.location.address) {
@@ -204,7 +208,7 @@
     return m_context.plan && m_owners_listed && !m_is_stopping;
 }
 
-void relay_node::take_plan(plan_document document)
+void relay_node::take_plan(plan_document document, const std::string& source)
 {
     if (document.version <= std::max(m_document.version, m_context.unreadable_plan_version)) {
         return;
@@ -223,8 +227,10 @@
     m_parts.log.note_state("plan_in_force",
                            {{"version", std::to_string(document.version)},
                             {"replaces", std::to_string(m_document.version)},
+                            {"from", source},
                             {"routes", std::to_string(m_context.plan->plan().routes.size())}});
     m_document = std::move(document);
+    m_metrics.note_plan(m_document.version, source == store_source ? "store" : "peer");
     m_sync.note_change();
 }
 
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -92,7 +92,7 @@
     };
 
     void follow_store();
-    void take_plan(plan_document document);
+    void take_plan(plan_document document, const std::string& source);
     void note_plan_faults(const routing_plan& plan);
     void take_owners(const std::vector<owner_record>& records);
     void list_neighbours_after(std::chrono::milliseconds delay);
