--- /dev/null
+++ b/src/tests/metadata_store_test.cpp
@@ -0,0 +1,185 @@
+#include "metadata_store.h"
+
+#include "fleet/reader_order.h"
+#include "plan_decoder.h"
+#include "soak/soak_store.h"
+#include "support/relay_test_fleet.h"
+#include "wire_names.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A plan is in force everywhere within this time of its acknowledgement.
+constexpr auto plan_bound = 2s;
+// More daemons than needed read the store for some time after the start of all.
+constexpr auto reading_at_start = 6s;
+
+std::string plan_text(std::uint64_t version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":{},"services":{"s":{}}})";
+}
+
+/// A daemon with its own connection to the store.
+struct stored_node {
+    std::string store_address = free_address();
+    std::string peer_address = free_address();
+    soak_link to_store;
+    metrics_registry metrics;
+    relay_metrics counters{metrics};
+    metadata_store store;
+    relay_node node;
+
+    stored_node(event_loop& loop, decision_log& log, const std::string& address,
+                const std::string& data_centre, unsigned seed)
+        : to_store(loop, store_address, address),
+          store(loop, store_address, data_centre, log, counters, random_engine(seed)),
+          node({loop, store, log, metrics, plan_decoder::decode}, settings(data_centre),
+               random_engine(seed + 1))
+    {
+        node.start();
+        upstream_heartbeat beat;
+        beat.id = "i-" + peer_address;
+        beat.service = "s";
+        beat.address = "127.0.0.1:1";
+        beat.slots = 1;
+        beat.sequence = 1;
+        beat.born_ms = 1;
+        node.note_heartbeat(beat, [] {});
+    }
+
+    relay_settings settings(const std::string& data_centre) const
+    {
+        relay_settings made;
+        made.location = {peer_address, data_centre, "region-" + data_centre};
+        made.entry_address = free_address();
+        made.own_service = "s";
+        return made;
+    }
+
+    /// The store takes this daemon's calls and does not answer them.
+    void silence_store() { to_store.cut(soak_link::direction::backward); }
+
+    std::uint64_t plan_version() const
+    {
+        return node.plan() == nullptr ? 0 : node.plan()->plan().version;
+    }
+};
+
+/// Daemons without any traffic that keep their plan in the stand-in for the store.
+struct stored_fleet {
+    static constexpr int daemons_of_data_centre = 6;
+
+    process_clock time;
+    event_loop loop{time};
+    decision_log log{time};
+    std::string address = free_address();
+    soak_store store{loop, address, std::mt19937_64(1)};
+    std::vector<std::unique_ptr<stored_node>> nodes;
+    std::set<const stored_node*> silent;
+
+    explicit stored_fleet(const std::vector<std::string>& data_centres)
+    {
+        structured_log::configure("test", "", log_level::error);
+        write_plan(1);
+        for (const auto& each : data_centres) {
+            for (int count = 0; count < daemons_of_data_centre; ++count) {
+                const auto seed = static_cast<unsigned>(nodes.size());
+                nodes.push_back(
+                    std::make_unique<stored_node>(loop, log, address, each, 10 * seed));
+            }
+        }
+        run_for(3s);
+    }
+
+    void write_plan(std::uint64_t version)
+    {
+        store.write(wire::operator_table, wire::plan_key, plan_text(version));
+    }
+
+    void run_for(std::chrono::milliseconds limit)
+    {
+        loop.after(limit, [this] { loop.stop(); });
+        loop.run();
+    }
+
+    /// Silences the store for the first daemons of a data centre.
+    void silence_first(const std::string& data_centre, std::size_t count)
+    {
+        const auto order = reader_order::daemons(nodes.front()->node.owners(), data_centre);
+        REQUIRE(order.size() >= count);
+        for (const auto& each : nodes) {
+            const auto place = std::find(order.begin(), order.end(), each->peer_address);
+            if (place != order.end() && place < order.begin() + static_cast<long>(count)) {
+                each->silence_store();
+                silent.insert(each.get());
+            }
+        }
+    }
+
+    /// Counts the daemons that the store answers and that have a plan in force.
+    long in_touch_with_plan(std::uint64_t version) const
+    {
+        return std::count_if(nodes.begin(), nodes.end(), [&](const auto& each) {
+            return silent.count(each.get()) == 0 && each->plan_version() == version;
+        });
+    }
+
+    long with_plan(std::uint64_t version) const
+    {
+        return std::count_if(nodes.begin(), nodes.end(), [&](const auto& each) {
+            return each->plan_version() == version;
+        });
+    }
+};
+
+} // namespace
+
+TEST_CASE("metadata_store: a silent feed of the plan is not covered up by other calls", "[platform]")
+{
+    // Guards against a reader that passes for fresh, as the store answers it about owners only.
+    stored_fleet fleet({"dc"});
+    auto& reader = *fleet.nodes.front();
+    reader.store.follow(true);
+    fleet.run_for(1s);
+    REQUIRE(reader.store.is_reachable());
+    fleet.store.silence_table(wire::operator_table);
+    fleet.run_for(1s);
+    owner_record record = *reader.node.owners().find(reader.peer_address);
+    ++record.revision;
+    reader.store.publish(record);
+    fleet.run_for(1s);
+    CHECK_FALSE(reader.store.is_reachable());
+}
+
+TEST_CASE("metadata_store: a plan is in force in time while the readers hear nothing", "[platform]")
+{
+    // Guards against followers that trust readers to whom the store has fallen silent.
+    stored_fleet fleet({"dc"});
+    fleet.run_for(reading_at_start);
+    REQUIRE(fleet.with_plan(1) == stored_fleet::daemons_of_data_centre);
+    fleet.silence_first("dc", 2);
+    fleet.run_for(300ms);
+    fleet.write_plan(2);
+    fleet.run_for(plan_bound);
+    CHECK(fleet.in_touch_with_plan(2) == stored_fleet::daemons_of_data_centre - 2);
+}
+
+TEST_CASE("metadata_store: a plan reaches a data centre that the store does not answer",
+          "[platform]")
+{
+    // Guards against news that reach another data centre with requests only, when there are none.
+    stored_fleet fleet({"east", "west"});
+    const auto all = static_cast<long>(fleet.nodes.size());
+    REQUIRE(fleet.with_plan(1) == all);
+    fleet.silence_first("west", stored_fleet::daemons_of_data_centre);
+    fleet.run_for(300ms);
+    fleet.write_plan(2);
+    fleet.run_for(plan_bound);
+    CHECK(fleet.with_plan(2) == all);
+}
--- a/src/tests/peer_sync_test.cpp
+++ b/src/tests/peer_sync_test.cpp
@@ -133,3 +133,35 @@
     fleet.run_for(6s);
     CHECK(fleet.with_plan(9) == data_centre_fleet::size);
 }
+
+TEST_CASE("peer_sync: a silent peer does not keep a daemon from asking another one", "[relay]")
+{
+    // Guards against a daemon that stays with an old plan for as long as it waits for one peer.
+    relay_test_fleet fleet;
+    relay_test_node silent(fleet.loop, fleet.shared, fleet.log, "silent");
+    fleet.shared.is_away = true;
+    fleet.b->store.tell_plan({2, "plan"});
+    silent.store.tell_plan({2, "plan"});
+    silent.link->cut(soak_link::direction::backward);
+    fleet.run_for(100ms);
+    const auto hear_from = [&](const std::string& address) {
+        const state_question question{2, 0, address, {}, false, 0ms};
+        client_request request;
+        request.head.method = "GET";
+        request.head.target = peer_state_codec::encode(question);
+        request.head.fields = {{"Host", "h"}};
+        client_hooks hooks;
+        hooks.head = [](const auto&) {};
+        hooks.body = [](std::string_view) {};
+        hooks.complete = [&fleet] { fleet.loop.stop(); };
+        hooks.failed = [&fleet](exchange_fault) { fleet.loop.stop(); };
+        const auto call =
+            fleet.client.send(fleet.a->peer_address, std::move(request), std::move(hooks));
+        fleet.loop.run();
+    };
+    hear_from(silent.peer_address);
+    hear_from(fleet.b->peer_address);
+    fleet.run_for(1s);
+    REQUIRE(fleet.a->node.plan() != nullptr);
+    CHECK(fleet.a->node.plan()->plan().version == 2);
+}
--- a/src/tests/soak/soak_store.cpp
+++ b/src/tests/soak/soak_store.cpp
@@ -4,6 +4,7 @@
 #include "wire_names.h"
 
 #include <Poco/URI.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -73,6 +74,9 @@
         return;
     }
     const auto table = parameter(target, "table");
+    if (table == m_silent_table) {
+        return;
+    }
     if (path == wire::rows_parts) {
         reply(*client, 200, parts_of(table));
         return;
@@ -84,13 +88,38 @@
     const auto after = http_head::number(parameter(target, "after")).value_or(0);
     bool is_empty = false;
     const auto body = rows_after(table, after, is_empty);
-    if (is_empty && parameter(target, "wait_ms") != "0") {
-        m_feeds.push_back({client, table, after});
+    const std::chrono::milliseconds wait(
+        http_head::number(parameter(target, "wait_ms")).value_or(0));
+    if (is_empty && wait > 0ms) {
+        hold_feed({++m_latest_feed, client, table, after}, wait);
         return;
     }
     reply(*client, 200, body);
 }
 
+void soak_store::hold_feed(waiting_feed feed, std::chrono::milliseconds wait)
+{
+    m_loop.after(wait, [this, id = feed.id] { end_feed(id); });
+    m_feeds.push_back(std::move(feed));
+}
+
+// Answers a feed at the end of its wait, if it is still held.
+void soak_store::end_feed(std::uint64_t id)
+{
+    const auto found = std::find_if(m_feeds.begin(), m_feeds.end(),
+                                    [id](const auto& each) { return each.id == id; });
+    if (found == m_feeds.end()) {
+        return;
+    }
+    const auto ended = std::move(*found);
+    m_feeds.erase(found);
+    if (ended.table == m_silent_table) {
+        return;
+    }
+    bool is_empty = false;
+    reply(*ended.client, 200, rows_after(ended.table, ended.after, is_empty));
+}
+
 void soak_store::transact(const std::shared_ptr<server_exchange>& client)
 {
     const auto transaction = json::parse(client->body(), nullptr, false);
@@ -152,7 +181,7 @@
     for (auto& each : feeds) {
         bool is_empty = false;
         const auto body = rows_after(each.table, each.after, is_empty);
-        if (is_empty) {
+        if (is_empty || each.table == m_silent_table) {
             m_feeds.push_back(std::move(each));
             continue;
         }
--- a/src/tests/soak/soak_store.h
+++ b/src/tests/soak/soak_store.h
@@ -2,6 +2,7 @@
 
 #include "net/http_server.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -26,6 +27,9 @@
     /// Changes how it misbehaves.
     void set_fault(fault how) { m_fault = how; }
 
+    /// Leaves all calls about one table unanswered.
+    void silence_table(const std::string& table) { m_silent_table = table; }
+
     /// Writes a row as the operators do, whatever the fault.
     void write(const std::string& table, const std::string& key, const std::string& value);
 
@@ -36,6 +40,7 @@
         std::uint64_t version = 0;
     };
     struct waiting_feed {
+        std::uint64_t id = 0;
         std::shared_ptr<server_exchange> client;
         std::string table;
         std::uint64_t after = 0;
@@ -48,6 +53,8 @@
     void transact(const std::shared_ptr<server_exchange>& client);
     void put(const std::string& table, const std::string& key, row written);
     std::string parts_of(const std::string& table) const;
+    void hold_feed(waiting_feed feed, std::chrono::milliseconds wait);
+    void end_feed(std::uint64_t id);
     void answer_feeds();
     std::string rows_in(const std::string& table, const std::string& part) const;
     std::string rows_after(const std::string& table, std::uint64_t after, bool& is_empty) const;
@@ -58,6 +65,8 @@
     fault m_fault = fault::none;
     std::map<std::pair<std::string, std::string>, row> m_rows;
     std::vector<waiting_feed> m_feeds;
+    std::string m_silent_table;
+    std::uint64_t m_latest_feed = 0;
     std::uint64_t m_version = 0;
 };
 
