Notice within a second that a plan feed is silent

Cause: a call for changes of the plan waited for 29 s and counted as lost after 32 s, so a reader to which the store had fallen silent told its followers that it was fresh, and they looked for no other one. Ruled out: losing the connection, which is noticed after 3 s by keep-alive probes; a silent store keeps the connection. When it stops being fresh the next reader checks its own feed at once. Up to seven further daemons of the data centre then try within 0.1 to 0.7 s, the others after a second each as before. Conclusion: the silence is bounded; the shared flag and the way to other data centres remain.

--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -48,6 +48,10 @@
     /// Starts or stops to follow the plan and all owners.
     virtual void follow(bool follows) = 0;
 
+    /// Chooses how soon it is noticed, while the plan is followed, that the store does not answer.
+    /// @param closely true: within about a second, by frequent calls.
+    virtual void watch_closely(bool closely) = 0;
+
     /// Writes this owner's record; retried until it or a later one is stored.
     /// @param record the record.
     virtual void publish(const owner_record& record) = 0;
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -102,6 +102,7 @@
                                                   {"reachable", std::to_string(seen.reachable)}});
         m_hooks.follow_store(m_role.is_reader());
     }
+    m_hooks.watch_store_closely(m_role.watches_closely());
     const bool is_fresh = m_role.is_reader() && m_hooks.has_store();
     if (is_fresh != m_was_fresh) {
         m_was_fresh = is_fresh;
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -31,6 +31,8 @@
         std::function<void(const std::vector<owner_record>&)> owners;
         std::function<void()> owners_complete; ///< A peer that knows all owners has told them.
         std::function<void(bool)> follow_store;
+        /// Whether it is to be noticed soon that the store does not answer.
+        std::function<void(bool)> watch_store_closely;
         /// @return true while the store answers this daemon and its list is complete.
         std::function<bool()> has_store;
         /// @return true when all owners are known.
--- a/src/relay/reader_role.cpp
+++ b/src/relay/reader_role.cpp
@@ -15,8 +15,13 @@
 // For each daemon that may take over before this one: it needs a moment to be heard of.
 constexpr auto step_with_readers = 700ms;
 constexpr auto step_alone = 50ms;
-// Where the readers answer but the store does not answer them, it hardly answers others.
-constexpr auto step_without_store = 1000ms;
+// Where the readers answer but the store does not answer them, it may answer others. A few try at
+// once, so that a plan is in force in time; the store hardly answers the rest if it answers none of
+// them.
+constexpr auto patience_without_store = 100ms;
+constexpr auto step_without_store = 100ms;
+constexpr int prompt_places = 6;
+constexpr auto later_step_without_store = 1000ms;
 constexpr auto longest_patience = 15s;
 // A daemon goes on for this long after it was needed, so that readers which come and go cost few
 // lists. Being short for less than the patience, as when a followed one stops, is no need.
@@ -30,6 +35,7 @@
 {
     const auto now = m_clock.steady_now();
     const bool is_short = view.fresh < readers;
+    m_is_first = view.fresh == 0;
     if (is_short && !m_is_short) {
         m_short_since = now;
     }
@@ -55,7 +61,9 @@
         total = patience_with_readers + step_with_readers * places;
     }
     else if (view.reachable > 0) {
-        total = patience_with_readers + step_without_store * places;
+        const auto prompt = std::min(places, prompt_places);
+        total = patience_without_store + step_without_store * prompt +
+                later_step_without_store * (places - prompt);
     }
     return std::min<std::chrono::milliseconds>(total, longest_patience);
 }
--- a/src/relay/reader_role.h
+++ b/src/relay/reader_role.h
@@ -38,11 +38,16 @@
     /// @return true when the last decision was to read the store.
     bool is_reader() const { return m_is_reader; }
 
+    /// @return true when the daemon is to notice within about a second that the store does not
+    /// answer it: no daemon before it does so.
+    bool watches_closely() const { return m_is_reader && m_is_first; }
+
 private:
     static std::chrono::milliseconds patience(const reader_view& view);
 
     const clock& m_clock;
     bool m_is_reader = false;
+    bool m_is_first = false;   ///< No daemon before this one is fresh.
     bool m_is_short = false;   ///< Too few daemons before this one are fresh.
     steady_time m_short_since; ///< Valid while it is short.
     steady_time m_needed_at;   ///< When the daemons before this one were last short for too long.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -134,6 +134,7 @@
         m_is_store_listed = false;
         m_parts.store.follow(follows);
     };
+    hooks.watch_store_closely = [this](bool closely) { m_parts.store.watch_closely(closely); };
     hooks.has_store = [this] {
         return m_parts.store.is_reachable() && m_is_store_listed && m_context.plan;
     };
--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -90,8 +90,7 @@
         for (const auto& each : data_centres) {
             for (int count = 0; count < daemons_of_data_centre; ++count) {
                 const auto seed = static_cast<unsigned>(nodes.size());
-                nodes.push_back(
-                    std::make_unique<stored_node>(loop, log, address, each, 10 * seed));
+                nodes.push_back(std::make_unique<stored_node>(loop, log, address, each, 10 * seed));
             }
         }
         run_for(3s);
@@ -132,15 +131,15 @@
 
     long with_plan(std::uint64_t version) const
     {
-        return std::count_if(nodes.begin(), nodes.end(), [&](const auto& each) {
-            return each->plan_version() == version;
-        });
+        return std::count_if(nodes.begin(), nodes.end(),
+                             [&](const auto& each) { return each->plan_version() == version; });
     }
 };
 
 } // namespace
 
-TEST_CASE("metadata_store: a silent feed of the plan is not covered up by other calls", "[platform]")
+TEST_CASE("metadata_store: a silent feed of the plan is not covered up by other calls",
+          "[platform]")
 {
     // Guards against a reader that passes for fresh, as the store answers it about owners only.
     stored_fleet fleet({"dc"});
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -67,6 +67,8 @@
         });
     }
 
+    void watch_closely(bool /*closely*/) override {}
+
     void publish(const owner_record& record) override
     {
         if (!m_shared.is_away) {
