Tell readers that start from readers that the store does not answer any more

Cause: since daemons take over within 0.1 s from readers that answer and are not fresh. Readers that have just started are not fresh either, so at the start of a fleet several more read the store and hold that for 5 s: 'peer_sync: others take over when the readers are gone' failed once in a run of all tests of the relay (7 daemons left of 12, 9 needed). Change: only readers that have been fresh and say that they are not count as lost; for the others the former pause of a second holds.

--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -157,7 +157,8 @@
             is_unreachable || (is_stale && now - followed.stale_since >= stale_time);
         const bool is_wanted = std::find(wanted.begin(), wanted.end(), each->first) != wanted.end();
         if (is_useless) {
-            m_passed_over[each->first] = {now + pass_over_time, !is_unreachable};
+            m_passed_over[each->first] = {now + pass_over_time, !is_unreachable,
+                                          followed.follower->has_lost_store()};
         }
         each = is_useless || !is_wanted ? m_followed.erase(each) : std::next(each);
     }
@@ -192,10 +193,12 @@
         if (is_before(address)) {
             seen.fresh += is_fresh ? 1 : 0;
             seen.reachable += status == peer_follower::status::unreachable ? 0 : 1;
+            seen.lost += followed.follower->has_lost_store() ? 1 : 0;
         }
     }
     for (const auto& [address, passed] : m_passed_over) {
         seen.reachable += passed.is_reachable && is_before(address) ? 1 : 0;
+        seen.lost += passed.has_lost_store && is_before(address) ? 1 : 0;
     }
     return seen;
 }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -56,6 +56,9 @@
     /// Notes that the plan, the owners or the state of the store have changed.
     void note_change();
 
+    /// Notes that the store has begun or ceased to answer this daemon.
+    void note_store_change() { update(); }
+
     /// Notes that a peer has told its plan's version.
     void heard_plan(std::uint64_t version, const std::string& address);
 
@@ -78,6 +81,7 @@
     struct passed_over {
         steady_time until;
         bool is_reachable = false;
+        bool has_lost_store = false;
     };
 
     void tick();
--- a/src/relay/reader_role.cpp
+++ b/src/relay/reader_role.cpp
@@ -15,9 +15,10 @@
 // For each daemon that may take over before this one: it needs a moment to be heard of.
 constexpr auto step_with_readers = 700ms;
 constexpr auto step_alone = 50ms;
-// Where the readers answer but the store does not answer them, it may answer others. A few try at
-// once, so that a plan is in force in time; the store hardly answers the rest if it answers none of
-// them.
+// Readers that answer and have not been fresh yet are about to list the store.
+constexpr auto step_with_new_readers = 1000ms;
+// Where the store has ceased to answer the readers, it may answer others. A few try at once, so
+// that a plan is in force in time; the store hardly answers the rest if it answers none of them.
 constexpr auto patience_without_store = 100ms;
 constexpr auto step_without_store = 100ms;
 constexpr int prompt_places = 6;
@@ -60,11 +61,14 @@
     if (view.fresh > 0) {
         total = patience_with_readers + step_with_readers * places;
     }
-    else if (view.reachable > 0) {
+    else if (view.lost > 0) {
         const auto prompt = std::min(places, prompt_places);
         total = patience_without_store + step_without_store * prompt +
                 later_step_without_store * (places - prompt);
     }
+    else if (view.reachable > 0) {
+        total = patience_with_readers + step_with_new_readers * places;
+    }
     return std::min<std::chrono::milliseconds>(total, longest_patience);
 }
 
--- a/src/tests/reader_role_test.cpp
+++ b/src/tests/reader_role_test.cpp
@@ -66,6 +66,11 @@
     CHECK(update_for(time, third, 2s, {2, 0, 2}));
     reader_role last(time);
     CHECK_FALSE(update_for(time, last, 10s, {39, 0, 2}));
+    // The same holds when the readers have been answered until now.
+    reader_role third_after_loss(time);
+    CHECK(update_for(time, third_after_loss, 250ms, {2, 0, 2, 2}));
+    reader_role last_after_loss(time);
+    CHECK_FALSE(update_for(time, last_after_loss, 10s, {39, 0, 2, 2}));
     // Without any reader that answers at all it does not wait for long.
     reader_role alone(time);
     CHECK(update_for(time, alone, 4s, {39, 0, 0}));
