Let only the calls for the plan say that the store answers

Cause: one flag stood for three paths to the store. An answer about owners or to a write made a reader whose plan feed was dead pass for fresh again, for its followers and for itself, so that it asked no peer either. Change: each path keeps its own state, fleet_store::tells_plan() follows the plan's alone, and a change of it is told to the followers at once.

--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -29,6 +29,7 @@
         std::function<void()> neighbours_listed;
         std::function<void()> owners_listed; ///< A complete list has been delivered.
         std::function<void(std::uint64_t revision)> published;
+        std::function<void()> tells_plan_changed; ///< The result of tells_plan() has changed.
     };
 
     fleet_store() = default;
@@ -56,8 +57,9 @@
     /// @param record the record.
     virtual void publish(const owner_record& record) = 0;
 
-    /// @return true while the store answers, as far as this daemon calls it.
-    virtual bool is_reachable() const = 0;
+    /// Calls about owners say nothing of it: each path to the store may fail by itself.
+    /// @return true while the plan is followed and the store answers the calls for it.
+    virtual bool tells_plan() const = 0;
 };
 
 } // namespace galenaroad
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -136,7 +136,7 @@
     };
     hooks.watch_store_closely = [this](bool closely) { m_parts.store.watch_closely(closely); };
     hooks.has_store = [this] {
-        return m_parts.store.is_reachable() && m_is_store_listed && m_context.plan;
+        return m_parts.store.tells_plan() && m_is_store_listed && m_context.plan;
     };
     hooks.is_complete = [this] { return m_owners_listed; };
     hooks.document = [this]() -> const plan_document& { return m_document; };
@@ -175,6 +175,7 @@
         note_all_owners();
     };
     hooks.published = [this](std::uint64_t revision) { acknowledge_up_to(revision); };
+    hooks.tells_plan_changed = [this] { m_sync.note_store_change(); };
     m_parts.store.start(std::move(hooks));
     list_neighbours_after(m_settings.first_list_delay * delays_without_heartbeat);
 }
--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -146,14 +146,14 @@
     auto& reader = *fleet.nodes.front();
     reader.store.follow(true);
     fleet.run_for(1s);
-    REQUIRE(reader.store.is_reachable());
+    REQUIRE(reader.store.tells_plan());
     fleet.store.silence_table(wire::operator_table);
     fleet.run_for(1s);
     owner_record record = *reader.node.owners().find(reader.peer_address);
     ++record.revision;
     reader.store.publish(record);
     fleet.run_for(1s);
-    CHECK_FALSE(reader.store.is_reachable());
+    CHECK_FALSE(reader.store.tells_plan());
 }
 
 TEST_CASE("metadata_store: a plan is in force in time while the readers hear nothing", "[platform]")
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -77,7 +77,7 @@
         }
     }
 
-    bool is_reachable() const override { return !m_shared.is_away; }
+    bool tells_plan() const override { return m_follows && !m_shared.is_away; }
 
     void tell_plan(const plan_document& plan) { m_hooks.plan(plan); }
 
