--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -156,6 +156,21 @@
     CHECK_FALSE(reader.store.tells_plan());
 }
 
+TEST_CASE("metadata_store: owners are heard of again after the connections fell silent",
+          "[platform]")
+{
+    // Guards against a reader that gets no news of owners until its silent call for them ends.
+    stored_fleet fleet({"east"});
+    fleet.run_for(reading_at_start);
+    for (const auto& each : fleet.nodes) {
+        each->to_store.silence_open();
+    }
+    fleet.run_for(2s);
+    stored_node late(fleet.loop, fleet.log, fleet.address, "west", 1000);
+    fleet.run_for(3s);
+    CHECK(fleet.nodes.front()->node.owners().find(late.peer_address) != nullptr);
+}
+
 TEST_CASE("metadata_store: a plan is in force in time while the readers hear nothing", "[platform]")
 {
     // Guards against followers that trust readers to whom the store has fallen silent.
