Ask another peer for a newer plan while one does not answer

Cause: a daemon that heard of a newer plan asked one peer, for up to 3 s, and dropped what it heard meanwhile. A kept connection that had fallen silent took all of that time. Change: plan_fetcher keeps the peers that told of the newest plan, asks another one beside the first after 0.3 s, and asks again on new connections.

--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -14,11 +14,6 @@
 constexpr auto tick_interval = 250ms;
 // While neither the store nor a reader is there, a peer is asked each time after so many ticks.
 constexpr int ticks_per_question = 2;
-constexpr auto connect_timeout = 400ms;
-constexpr auto max_idle = 8s;
-// A peer that is suspended or trickles must not keep the others from being asked.
-constexpr auto answer_time = 3s;
-constexpr std::uint64_t max_answer_bytes = std::uint64_t{16} * 1024 * 1024;
 constexpr std::size_t max_contacts = 16;
 // A peer that does not read the store may be about to; then another one is tried for a while.
 constexpr auto stale_time = 600ms;
@@ -40,7 +35,14 @@
                 [this] { return m_role.is_reader() && m_hooks.has_store(); },
                 [this] { return m_hooks.is_complete(); }, [this] { return fresh_sources(); }},
                start_identity(m_random)),
-      m_role(context.loop.time())
+      m_role(context.loop.time()),
+      m_fetcher(
+          context,
+          [this](const peer_state& state, const std::string& peer) { take_state(state, peer); },
+          [this](const std::string& peer) {
+              m_contacts.erase(peer);
+              m_context.ranking.note_unreachable(peer, m_context.now());
+          })
 {
 }
 
@@ -68,12 +70,12 @@
     update();
     ++m_ticks;
     const bool is_synced = m_hooks.has_store() || !fresh_sources().empty();
-    if (is_synced || m_ticks % ticks_per_question != 0 || m_call) {
+    if (is_synced || m_ticks % ticks_per_question != 0 || m_fetcher.is_asking()) {
         return;
     }
     const auto address = any_peer();
     if (!address.empty()) {
-        ask(address);
+        m_fetcher.ask(address);
     }
 }
 
@@ -238,14 +240,7 @@
     if (m_context.directory.find(address) == nullptr && m_contacts.size() < max_contacts) {
         m_contacts.insert(address);
     }
-    const auto known = std::max(m_context.plan_version(), m_context.unreadable_plan_version);
-    if (version <= known) {
-        return;
-    }
-    m_context.metrics.note_heard_plan(m_call ? "dropped" : "asked");
-    if (!m_call) {
-        ask(address);
-    }
+    m_fetcher.hear(version, address);
 }
 
 std::string peer_sync::any_peer()
@@ -264,44 +259,6 @@
     return peers[any(m_random)];
 }
 
-void peer_sync::ask(const std::string& address)
-{
-    state_question question;
-    question.plan_version = m_context.plan_version();
-    question.digest = m_context.directory.digest();
-    question.address = m_context.location.address;
-    client_request request;
-    request.head.method = "GET";
-    request.head.target = peer_state_codec::encode(question);
-    request.head.fields = {{"Host", address}};
-    request.connect_timeout = connect_timeout;
-    request.max_idle = max_idle;
-    request.time_limit = answer_time;
-    request.bounds.max_body_bytes = max_answer_bytes;
-    m_answer.clear();
-    m_asked = address;
-    client_hooks reactions;
-    reactions.head = [](const http_response_head&) {};
-    reactions.body = [this](std::string_view bytes) { m_answer.append(bytes); };
-    reactions.complete = [this] {
-        const auto held = std::move(m_call);
-        m_call.reset();
-        const auto state = peer_state_codec::decode_state(m_answer);
-        if (!state) {
-            m_context.log.note_state("peer_answer_unreadable", {{"peer", m_asked}});
-            return;
-        }
-        take_state(*state, m_asked);
-    };
-    reactions.failed = [this](exchange_fault) {
-        const auto held = std::move(m_call);
-        m_call.reset();
-        m_contacts.erase(m_asked);
-        m_context.ranking.note_unreachable(m_asked, m_context.now());
-    };
-    m_call = m_context.peers.send(address, std::move(request), std::move(reactions));
-}
-
 void peer_sync::answer(const std::shared_ptr<server_exchange>& client)
 {
     const auto question = m_server.answer(client);
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet_store.h"
 #include "net/http_server.h"
 #include "relay/peer_follower.h"
+#include "relay/plan_fetcher.h"
 #include "relay/reader_role.h"
 #include "relay/relay_context.h"
 #include "relay/state_server.h"
@@ -94,7 +95,6 @@
     bool is_before(const std::string& address) const;
     std::vector<std::string> fresh_sources() const;
     void take_state(const peer_state& state, const std::string& peer);
-    void ask(const std::string& address);
     std::string any_peer();
 
     relay_context& m_context;
@@ -108,9 +108,7 @@
     std::map<std::string, followed_peer> m_followed;
     std::map<std::string, passed_over> m_passed_over;
     std::set<std::string> m_contacts; ///< Peers that have called and may not be in the directory.
-    std::shared_ptr<http_exchange> m_call;
-    std::string m_answer;
-    std::string m_asked;
+    plan_fetcher m_fetcher;
     int m_ticks = 0;
     bool m_knows_neighbours = false;
     bool m_was_fresh = false;
--- /dev/null
+++ b/src/relay/plan_fetcher.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "net/http_client.h"
+#include "relay/peer_state.h"
+#include "relay/relay_context.h"
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace galenaroad {
+
+/// Fetches the state of peers, above all plans that are newer than the own one.
+///
+/// A peer that does not answer at once does not hold up the others that have told of the plan: the
+/// next one is asked beside it, on a new connection, since a kept one may have fallen silent.
+class plan_fetcher {
+public:
+    /// Called with a peer's answer.
+    using state_hook = std::function<void(const peer_state& state, const std::string& peer)>;
+
+    /// Called with the address of a peer that cannot be reached.
+    using lost_hook = std::function<void(const std::string& peer)>;
+
+    /// @param context shared state; must outlive the fetcher.
+    /// @param on_state called with each answer.
+    /// @param on_lost called for each peer that does not answer.
+    plan_fetcher(relay_context& context, state_hook on_state, lost_hook on_lost);
+    plan_fetcher(const plan_fetcher&) = delete;
+    plan_fetcher& operator=(const plan_fetcher&) = delete;
+    plan_fetcher(plan_fetcher&&) = delete;
+    plan_fetcher& operator=(plan_fetcher&&) = delete;
+    ~plan_fetcher();
+
+    /// Notes that a peer has told of a plan, and fetches it unless it is known.
+    /// @param version the plan's version.
+    /// @param peer the peer's address.
+    void hear(std::uint64_t version, const std::string& peer);
+
+    /// Asks a peer for its state, whatever its plan is.
+    /// @param peer the peer's address.
+    void ask(const std::string& peer);
+
+    /// @return true while a peer is being asked.
+    bool is_asking() const { return !m_questions.empty(); }
+
+private:
+    /// A peer that has told of the wanted plan.
+    struct holder {
+        std::string peer;
+        int times_asked = 0;
+    };
+
+    /// A question under way.
+    struct question {
+        std::string peer;
+        std::string answer;
+        std::shared_ptr<http_exchange> call;
+    };
+
+    std::uint64_t known_version() const;
+    void ask_next();
+    void send(const std::string& peer, std::chrono::milliseconds max_idle);
+    void on_answer(std::list<question>::iterator asked);
+    void on_failed(std::list<question>::iterator asked);
+
+    relay_context& m_context;
+    state_hook m_on_state;
+    lost_hook m_on_lost;
+    std::uint64_t m_wanted = 0;    ///< The newest version that was heard of.
+    std::vector<holder> m_holders; ///< The latest ones.
+    std::list<question> m_questions;
+    event_loop::timer_id m_next = event_loop::no_timer; ///< Until another peer is asked as well.
+};
+
+} // namespace galenaroad
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -57,7 +57,7 @@
     void note_plan(std::uint64_t version, const std::string& source);
 
     /// Notes that a peer has told the version of a newer plan.
-    /// @param decision `asked`, or `dropped` while another peer is being asked.
+    /// @param decision `asked`, or `queued` while another peer is being asked.
     void note_heard_plan(const std::string& decision);
 
     /// Notes the number of faults of the plan in force.
