Let all readers check their feed when one before them has lost the store

Cause: a reader checked its feed once no reader before it was fresh, 0.4 s after the one before it had said so. Where several daemons read, as after the start of all, the checks ran one after another. Change: a reader checks when any daemon before it has lost the store.

--- a/src/relay/reader_role.cpp
+++ b/src/relay/reader_role.cpp
@@ -36,7 +36,7 @@
 {
     const auto now = m_clock.steady_now();
     const bool is_short = view.fresh < readers;
-    m_is_first = view.fresh == 0;
+    m_may_be_first = view.fresh == 0 || view.lost > 0;
     if (is_short && !m_is_short) {
         m_short_since = now;
     }
--- a/src/relay/reader_role.h
+++ b/src/relay/reader_role.h
@@ -40,18 +40,18 @@
     bool is_reader() const { return m_is_reader; }
 
     /// @return true when the daemon is to notice within about a second that the store does not
-    /// answer it: no daemon before it does so.
-    bool watches_closely() const { return m_is_reader && m_is_first; }
+    /// answer it: no daemon before it does so, or one of them has ceased to.
+    bool watches_closely() const { return m_is_reader && m_may_be_first; }
 
 private:
     static std::chrono::milliseconds patience(const reader_view& view);
 
     const clock& m_clock;
     bool m_is_reader = false;
-    bool m_is_first = false;   ///< No daemon before this one is fresh.
-    bool m_is_short = false;   ///< Too few daemons before this one are fresh.
-    steady_time m_short_since; ///< Valid while it is short.
-    steady_time m_needed_at;   ///< When the daemons before this one were last short for too long.
+    bool m_may_be_first = false; ///< Among the daemons that the store answers.
+    bool m_is_short = false;     ///< Too few daemons before this one are fresh.
+    steady_time m_short_since;   ///< Valid while it is short.
+    steady_time m_needed_at;     ///< When the daemons before this one were last short for too long.
 };
 
 } // namespace galenaroad
