Announce a newer plan to other data centres and to the own readers

Cause: between data centres, versions ride on requests, and these stay near. Change: plan_announcer. The reader that watches the plan tells one daemon of each other data centre, and another one 0.3 s later. A daemon that has a plan from elsewhere than its readers tells these. Both use the question that peers answer already, without owners.

--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -85,6 +85,9 @@
         uri.addQueryParameter("start", question.position.start);
         uri.addQueryParameter("change", std::to_string(question.position.change));
     }
+    if (!question.wants_owners) {
+        uri.addQueryParameter("owners", "0");
+    }
     if (question.wait.count() > 0) {
         uri.addQueryParameter("fresh", question.was_fresh ? "1" : "0");
         uri.addQueryParameter("wait_ms", std::to_string(question.wait.count()));
@@ -107,6 +110,7 @@
         question.address = text_in(values, "from");
         question.position = {text_in(values, "start"), number_in(values, "change")};
         question.was_fresh = number_in(values, "fresh") != 0;
+        question.wants_owners = text_in(values, "owners") != "0";
         question.wait =
             std::chrono::milliseconds(std::min(number_in(values, "wait_ms"), longest_wait_ms));
         return question;
--- a/src/relay/peer_state.h
+++ b/src/relay/peer_state.h
@@ -24,6 +24,7 @@
     std::string address;            ///< At which peers reach it.
     change_position position;       ///< Of the asked daemon, when it is followed.
     bool was_fresh = false;         ///< As the peer said last.
+    bool wants_owners = true;       ///< False when only the plan matters.
     /// Longest time for which the peer may hold the question until it has something new.
     std::chrono::milliseconds wait{0};
 };
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -42,7 +42,8 @@
           [this](const std::string& peer) {
               m_contacts.erase(peer);
               m_context.ranking.note_unreachable(peer, m_context.now());
-          })
+          }),
+      m_announcer(context, random_engine(m_random()))
 {
 }
 
@@ -65,6 +66,25 @@
     m_server.note_change();
 }
 
+// A plan that came from elsewhere than the readers of the data centre may be news to these.
+void peer_sync::note_newer_plan(const std::string& source)
+{
+    if (source.empty()) {
+        if (m_role.watches_closely()) {
+            m_announcer.tell_other_data_centres();
+        }
+        return;
+    }
+    if (m_followed.count(source) > 0) {
+        return;
+    }
+    for (const auto& [address, followed] : m_followed) {
+        if (followed.follower->current() != peer_follower::status::unreachable) {
+            m_announcer.tell(address);
+        }
+    }
+}
+
 void peer_sync::tick()
 {
     update();
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -4,6 +4,7 @@
 #include "fleet/fleet_store.h"
 #include "net/http_server.h"
 #include "relay/peer_follower.h"
+#include "relay/plan_announcer.h"
 #include "relay/plan_fetcher.h"
 #include "relay/reader_role.h"
 #include "relay/relay_context.h"
@@ -57,6 +58,10 @@
     /// Notes that the plan, the owners or the state of the store have changed.
     void note_change();
 
+    /// Notes that a newer plan is in force, and tells those who may not hear of it otherwise.
+    /// @param source address of the peer that told it; empty when the store did.
+    void note_newer_plan(const std::string& source);
+
     /// Notes that the store has begun or ceased to answer this daemon.
     void note_store_change() { update(); }
 
@@ -109,6 +114,7 @@
     std::map<std::string, passed_over> m_passed_over;
     std::set<std::string> m_contacts; ///< Peers that have called and may not be in the directory.
     plan_fetcher m_fetcher;
+    plan_announcer m_announcer;
     int m_ticks = 0;
     bool m_knows_neighbours = false;
     bool m_was_fresh = false;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -231,9 +231,14 @@
                             {"replaces", std::to_string(m_document.version)},
                             {"from", source},
                             {"routes", std::to_string(m_context.plan->plan().routes.size())}});
+    const bool had_plan = m_document.version > 0;
     m_document = std::move(document);
-    m_metrics.note_plan(m_document.version, source == store_source ? "store" : "peer");
+    const bool is_from_store = source == store_source;
+    m_metrics.note_plan(m_document.version, is_from_store ? "store" : "peer");
     m_sync.note_change();
+    if (had_plan) {
+        m_sync.note_newer_plan(is_from_store ? "" : source);
+    }
 }
 
 void relay_node::note_plan_faults(const routing_plan& plan)
--- a/src/relay/state_server.cpp
+++ b/src/relay/state_server.cpp
@@ -90,6 +90,9 @@
 std::vector<owner_record> state_server::owners_for(const state_question& question) const
 {
     const auto& directory = m_context.directory;
+    if (!question.wants_owners) {
+        return {};
+    }
     if (question.position.start == m_start) {
         return directory.changed_since(question.position.change);
     }
--- a/src/tests/peer_sync_test.cpp
+++ b/src/tests/peer_sync_test.cpp
@@ -145,7 +145,7 @@
     silent.link->cut(soak_link::direction::backward);
     fleet.run_for(100ms);
     const auto hear_from = [&](const std::string& address) {
-        const state_question question{2, 0, address, {}, false, 0ms};
+        const state_question question{2, 0, address, {}, false, true, 0ms};
         client_request request;
         request.head.method = "GET";
         request.head.target = peer_state_codec::encode(question);
