Forget a plan version that none of its holders has

Cause: since a daemon remembered the greatest version that a peer told. A peer that tells a version which nobody has would have hidden every later one that rides on requests. Found by reading the change again. Change: when none of the peers that told of a version has it, it is forgotten. Evidence: 'a version that no peer has does not hide the next plan' fails without the change and passes with it.

--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -81,7 +81,9 @@
             return a.times_asked < b.times_asked;
         });
     if (chosen == m_holders.rend() || chosen->times_asked >= max_questions_to_one) {
+        // None of them had it; a version that was told wrongly must not hide the next one.
         m_holders.clear();
+        m_wanted = 0;
         return;
     }
     const bool is_first = chosen->times_asked == 0 && m_questions.empty();
--- a/src/tests/peer_sync_test.cpp
+++ b/src/tests/peer_sync_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace galenaroad;
 using namespace std::chrono_literals;
@@ -80,6 +81,26 @@
     }
 };
 
+/// Tells node a that a peer has a plan, as the peer does by a question.
+void tell_of_plan(relay_test_fleet& fleet, std::uint64_t version, const std::string& peer)
+{
+    state_question question;
+    question.plan_version = version;
+    question.address = peer;
+    client_request request;
+    request.head.method = "GET";
+    request.head.target = peer_state_codec::encode(question);
+    request.head.fields = {{"Host", "h"}};
+    client_hooks hooks;
+    hooks.head = [](const auto&) {};
+    hooks.body = [](std::string_view) {};
+    hooks.complete = [&fleet] { fleet.loop.stop(); };
+    hooks.failed = [&fleet](exchange_fault) { fleet.loop.stop(); };
+    const auto call =
+        fleet.client.send(fleet.a->peer_address, std::move(request), std::move(hooks));
+    fleet.loop.run();
+}
+
 } // namespace
 
 TEST_CASE("peer_sync: few daemons read the store, and all know the plan and the owners", "[relay]")
@@ -144,24 +165,22 @@
     silent.store.tell_plan({2, "plan"});
     silent.link->cut(soak_link::direction::backward);
     fleet.run_for(100ms);
-    const auto hear_from = [&](const std::string& address) {
-        const state_question question{2, 0, address, {}, false, true, 0ms};
-        client_request request;
-        request.head.method = "GET";
-        request.head.target = peer_state_codec::encode(question);
-        request.head.fields = {{"Host", "h"}};
-        client_hooks hooks;
-        hooks.head = [](const auto&) {};
-        hooks.body = [](std::string_view) {};
-        hooks.complete = [&fleet] { fleet.loop.stop(); };
-        hooks.failed = [&fleet](exchange_fault) { fleet.loop.stop(); };
-        const auto call =
-            fleet.client.send(fleet.a->peer_address, std::move(request), std::move(hooks));
-        fleet.loop.run();
-    };
-    hear_from(silent.peer_address);
-    hear_from(fleet.b->peer_address);
+    tell_of_plan(fleet, 2, silent.peer_address);
+    tell_of_plan(fleet, 2, fleet.b->peer_address);
     fleet.run_for(1s);
     REQUIRE(fleet.a->node.plan() != nullptr);
     CHECK(fleet.a->node.plan()->plan().version == 2);
 }
+
+TEST_CASE("peer_sync: a version that no peer has does not hide the next plan", "[relay]")
+{
+    // Guards against a daemon that waits for a plan of which it was told wrongly.
+    relay_test_fleet fleet;
+    tell_of_plan(fleet, std::numeric_limits<std::uint64_t>::max(), fleet.b->peer_address);
+    fleet.run_for(1500ms);
+    fleet.b->store.tell_plan({2, "plan"});
+    tell_of_plan(fleet, 2, fleet.b->peer_address);
+    fleet.run_for(500ms);
+    REQUIRE(fleet.a->node.plan() != nullptr);
+    CHECK(fleet.a->node.plan()->plan().version == 2);
+}
