Check the depth, the range and the time of foreign entries

Here, by tests that failed before: - Depth: an answer of a peer with a nested list of owners overflowed the stack (SIGSEGV), as the list was written as text and read again. Entries of the store, heartbeats and plans of two million levels did no harm. The list is now read where it is. - Numbers: a revision, start time or sequence of -1, 1e30, 1.5 or 2^64 - 1 was converted without a check. A revision that no later record exceeds keeps daemons from following the owner.

--- a/src/fleet/owner_record_codec.cpp
+++ b/src/fleet/owner_record_codec.cpp
@@ -26,6 +26,21 @@
             {"sequence", record.sequence}};
 }
 
+// Greater numbers are not exact in every JSON reader, and nothing that counts from the start of a
+// daemon or in milliseconds of time reaches them.
+constexpr std::uint64_t greatest_number = (std::uint64_t{1} << 53) - 1;
+
+// Returns nothing for a number of another kind, which would be converted without a check.
+std::optional<std::uint64_t> number_at(const json& value, const char* key)
+{
+    const auto found = value.find(key);
+    if (found == value.end() || !found->is_number_unsigned()) {
+        return {};
+    }
+    const auto number = found->get<std::uint64_t>();
+    return number <= greatest_number ? std::make_optional(number) : std::nullopt;
+}
+
 std::optional<announced_state> state_named(const std::string& name)
 {
     for (std::size_t index = 0; index < state_names.size(); ++index) {
@@ -50,12 +65,18 @@
         }
         record.data_centre = value.at("data_centre").get<std::string>();
         record.region = value.at("region").get<std::string>();
-        record.revision = value.at("revision").get<std::uint64_t>();
         record.upstream_id = value.at("upstream").get<std::string>();
         record.service = value.at("service").get<std::string>();
         record.state = *state;
-        record.born_ms = value.at("born_ms").get<std::uint64_t>();
-        record.sequence = value.at("sequence").get<std::uint64_t>();
+        const auto revision = number_at(value, "revision");
+        const auto born_ms = number_at(value, "born_ms");
+        const auto sequence = number_at(value, "sequence");
+        if (!revision || !born_ms || !sequence) {
+            return {};
+        }
+        record.revision = *revision;
+        record.born_ms = *born_ms;
+        record.sequence = *sequence;
         return record;
     }
     catch (const json::exception&) {
@@ -85,15 +106,15 @@
     return list.dump();
 }
 
-std::vector<owner_record> owner_record_codec::decode_all(std::string_view text)
+std::vector<owner_record> owner_record_codec::decode_all(const nlohmann::json& list)
 {
     std::vector<owner_record> records;
-    const auto list = json::parse(text, nullptr, false);
     if (!list.is_array()) {
         return records;
     }
     for (const auto& value : list) {
-        if (auto record = from_json(value)) {
+        auto record = value.is_object() ? from_json(value) : std::nullopt;
+        if (record) {
             records.push_back(std::move(*record));
         }
     }
--- a/src/fleet/owner_record_codec.h
+++ b/src/fleet/owner_record_codec.h
@@ -2,6 +2,7 @@
 
 #include "fleet/owner_record.h"
 
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,9 +25,9 @@
     /// @return a JSON array.
     static std::string encode_all(const std::vector<owner_record>& records);
 
-    /// @param text a JSON array.
+    /// @param list a JSON array, or anything else.
     /// @return the records that can be read.
-    static std::vector<owner_record> decode_all(std::string_view text);
+    static std::vector<owner_record> decode_all(const nlohmann::json& list);
 };
 
 } // namespace galenaroad
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -153,7 +153,7 @@
     state.is_complete = flag_at(value, "complete");
     state.fresh_daemons = texts_at(value, "fresh_daemons");
     if (value.contains("owners")) {
-        state.owners = owner_record_codec::decode_all(value["owners"].dump());
+        state.owners = owner_record_codec::decode_all(value["owners"]);
     }
     return state;
 }
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -18,6 +18,8 @@
 constexpr const char* store_source = "store";
 // A change is kept in the store before it is acknowledged, unless the store takes longer.
 constexpr auto longest_acknowledgement_wait = 600ms;
+// Clocks of instances differ by seconds, and jump by seconds.
+constexpr auto longest_clock_lead = std::chrono::hours(24);
 // Clients are told by the readiness check, which asks once a second and counts two misses.
 constexpr auto least_stop_time = 2500ms;
 constexpr auto stop_check_interval = 50ms;
@@ -260,6 +262,13 @@
 void relay_node::take_owners(const std::vector<owner_record>& records)
 {
     for (const auto& record : records) {
+        if (is_from_future(record.revision) || is_from_future(record.born_ms)) {
+            m_parts.log.note_state("owner_record_refused",
+                                   {{"owner", record.address},
+                                    {"revision", std::to_string(record.revision)},
+                                    {"born_ms", std::to_string(record.born_ms)}});
+            continue;
+        }
         const bool is_own = record.address == m_settings.location.address;
         if (is_own && record.revision > m_published.revision) {
             m_context.owned.restore(record);
@@ -277,6 +286,13 @@
     m_sync.note_change();
 }
 
+// Revisions and start times are times of day. One that no clock shows yet is a foreign writer's,
+// and no later record of the owner would replace it.
+bool relay_node::is_from_future(std::uint64_t time_ms) const
+{
+    return time_ms > unix_ms(m_parts.loop.time().system_now() + longest_clock_lead);
+}
+
 void relay_node::publish()
 {
     const auto& lifecycle = m_context.owned.lifecycle();
@@ -311,6 +327,12 @@
         m_has_heartbeat = true;
         list_neighbours_after(m_settings.first_list_delay);
     }
+    if (is_from_future(beat.born_ms)) {
+        m_parts.log.note_state("heartbeat_from_future",
+                               {{"upstream", beat.id}, {"born_ms", std::to_string(beat.born_ms)}});
+        acknowledge();
+        return;
+    }
     const auto change = m_context.owned.note_heartbeat(beat);
     acknowledge_change(change, std::move(acknowledge));
 }
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -95,6 +95,7 @@
     void take_plan(plan_document document, const std::string& source);
     void note_plan_faults(const routing_plan& plan);
     void take_owners(const std::vector<owner_record>& records);
+    bool is_from_future(std::uint64_t time_ms) const;
     void list_neighbours_after(std::chrono::milliseconds delay);
     void note_all_owners();
     void publish();
--- a/src/tests/decoder_robustness_test.cpp
+++ b/src/tests/decoder_robustness_test.cpp
@@ -197,3 +197,53 @@
     CHECK(answer->is_fresh);
     CHECK_FALSE(answer->is_complete);
 }
+
+TEST_CASE("decoders: deep nesting does not end the daemon", "[robustness]")
+{
+    // Guards against an entry of another writer that overflows the stack of every daemon that reads
+    // the list, after each restart anew.
+    constexpr std::size_t depth = 2'000'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    CHECK(json::parse(nested, nullptr, false).is_array());
+    CHECK_FALSE(owner_record_codec::decode(nested).has_value());
+    CHECK(owner_record_codec::decode_all(json::parse(nested)).empty());
+    CHECK_FALSE(owner_record_codec::decode(R"({"address":)" + nested + "}").has_value());
+    CHECK(store_rows_codec::decode(R"({"rows":[)" + nested + "]}")->rows.empty());
+    CHECK(store_rows_codec::decode_parts(R"({"parts":[)" + nested + "]}")->empty());
+    CHECK_FALSE(heartbeat_decoder::decode("i", R"({"info":)" + nested + "}").has_value());
+    const auto plan = plan_decoder::decode({1, R"({"version":1,"routes":{"a":)" + nested + "}}"});
+    REQUIRE(plan.has_value());
+    CHECK(plan->routes.empty());
+    const auto state = peer_state_codec::decode_state(R"({"owners":[)" + nested + "]}");
+    REQUIRE(state.has_value());
+    CHECK(state->owners.empty());
+}
+
+TEST_CASE("owner_record: numbers that do not fit are refused", "[fleet]")
+{
+    // Guards against a revision that no later record of the owner exceeds, so that daemons stop
+    // following it.
+    const auto field = GENERATE("revision", "born_ms", "sequence");
+    const auto number = GENERATE("-1", "1e30", "1.5", "18446744073709551615", "1e400", "true");
+    auto text = owner_record_codec::encode(some_record());
+    const auto at = text.find(':', text.find('"' + std::string(field) + '"')) + 1;
+    text.replace(at, text.find_first_of(",}", at) - at, number);
+    INFO(text);
+    CHECK_FALSE(owner_record_codec::decode(text).has_value());
+}
+
+TEST_CASE("heartbeat_decoder: numbers that do not fit are refused", "[platform]")
+{
+    // Guards against a start time or sequence that no later heartbeat exceeds, so that the upstream
+    // gets no work any more.
+    const auto field = GENERATE("born", "sequence", "slots", "cold_left_ms");
+    const auto number = GENERATE("-1", "1e30", "1.5", "18446744073709551615", "1e400", "true");
+    std::string text = R"({"address":"10.0.0.1:8080","born":5,"info":{"service":"s","slots":3},)"
+                       R"("status":{"state":"ready","sequence":4,"cold_left_ms":0}})";
+    const auto at = text.find(':', text.find('"' + std::string(field) + '"')) + 1;
+    text.replace(at, text.find_first_of(",}", at) - at, number);
+    INFO(text);
+    const bool is_capped =
+        std::string(field) == "cold_left_ms" && std::string(number) == "18446744073709551615";
+    CHECK(heartbeat_decoder::decode("i", text).has_value() == is_capped);
+}
--- a/src/tests/owner_directory_test.cpp
+++ b/src/tests/owner_directory_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 #include <random>
 
 using namespace galenaroad;
@@ -68,5 +69,5 @@
                                  R"({"address":"a","state":"asleep"})");
     CHECK_FALSE(owner_record_codec::decode(broken).has_value());
     const auto list = '[' + owner_record_codec::encode(original) + ",{\"address\":1},5]";
-    CHECK(owner_record_codec::decode_all(list).size() == 1);
+    CHECK(owner_record_codec::decode_all(nlohmann::json::parse(list)).size() == 1);
 }
--- a/src/tests/relay_node_test.cpp
+++ b/src/tests/relay_node_test.cpp
@@ -1,3 +1,4 @@
+#include "base/unix_time.h"
 #include "support/relay_test_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -367,3 +368,30 @@
     };
     CHECK(fleet.ask("POST", "/once/x").status == 200);
 }
+
+TEST_CASE("relay_node: a record from the far future does not replace its owner's", "[relay]")
+{
+    // Guards against a foreign entry that keeps daemons from following an owner, or the owner from
+    // believing its own upstream.
+    relay_test_fleet fleet;
+    const auto century = std::chrono::hours(24 * 36500);
+    const auto future = unix_ms(fleet.time.system_now() + century);
+    const auto has_future_revision = GENERATE(true, false);
+    owner_record foreign;
+    foreign.data_centre = "dc-b";
+    foreign.region = "region";
+    foreign.upstream_id = "i-foreign";
+    foreign.service = "s";
+    foreign.state = announced_state::left;
+    foreign.revision = has_future_revision ? future : 1;
+    foreign.born_ms = has_future_revision ? 1 : future;
+    foreign.address = fleet.b->peer_address;
+    fleet.shared.tell(foreign);
+    fleet.run_for(50ms);
+    fleet.b->announce();
+    fleet.run_for(600ms);
+    const auto* const seen = fleet.a->node.owners().find(fleet.b->peer_address);
+    REQUIRE(seen != nullptr);
+    CHECK(seen->upstream_id == fleet.b->id);
+    CHECK(fleet.ask("GET", "/safe/x").status == 200);
+}
