--- a/src/relay/peer_follower.cpp
+++ b/src/relay/peer_follower.cpp
@@ -1,5 +1,7 @@
 #include "relay/peer_follower.h"
 
+#include "relay/state_request.h"
+
 #include <Poco/Net/HTTPResponse.h>
 
 namespace galenaroad {
@@ -8,8 +10,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto connect_timeout = 400ms;
-constexpr auto max_idle = 8s;
 constexpr auto longest_hold = 15s;
 // A peer that is suspended, or that trickles, counts as unreachable after its hold and this time.
 constexpr auto answer_time = 1500ms;
@@ -17,7 +17,6 @@
 // the next change of the plan is overdue.
 constexpr auto longest_silence = 1250ms;
 constexpr auto pause_after_stale = 500ms;
-constexpr std::uint64_t max_answer_bytes = std::uint64_t{16} * 1024 * 1024;
 
 } // namespace
 
@@ -42,14 +41,8 @@
     question.was_fresh = m_status == status::fresh;
     // A peer that is not fresh answers at once, so that another one can be followed instead.
     question.wait = question.was_fresh ? longest_hold : 0ms;
-    client_request request;
-    request.head.method = "GET";
-    request.head.target = peer_state_codec::encode(question);
-    request.head.fields = {{"Host", m_address}};
-    request.connect_timeout = connect_timeout;
-    request.max_idle = max_idle;
-    request.time_limit = question.wait + answer_time;
-    request.bounds.max_body_bytes = max_answer_bytes;
+    state_request_times times;
+    times.limit = question.wait + answer_time;
     m_body.clear();
     client_hooks reactions;
     reactions.interim = [this] { watch_silence(); };
@@ -57,7 +50,8 @@
     reactions.body = [this](std::string_view bytes) { m_body.append(bytes); };
     reactions.complete = [this] { on_answer(); };
     reactions.failed = [this](exchange_fault) { on_failed(); };
-    m_call = m_context.peers.send(m_address, std::move(request), std::move(reactions));
+    m_call = m_context.peers.send(m_address, make_state_request(m_address, question, times),
+                                  std::move(reactions));
     watch_silence();
 }
 
--- a/src/relay/plan_announcer.cpp
+++ b/src/relay/plan_announcer.cpp
@@ -1,6 +1,6 @@
 #include "relay/plan_announcer.h"
 
-#include "relay/peer_state.h"
+#include "relay/state_request.h"
 
 #include <map>
 #include <random>
@@ -11,11 +11,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto connect_timeout = 400ms;
-constexpr auto max_idle = 8s;
 constexpr auto answer_time = 1s;
 constexpr auto second_after = 300ms;
-constexpr std::uint64_t max_answer_bytes = std::uint64_t{16} * 1024 * 1024;
 
 } // namespace
 
@@ -66,14 +63,6 @@
     told.plan_version = m_context.plan_version();
     told.address = m_context.location.address;
     told.wants_owners = false;
-    client_request request;
-    request.head.method = "GET";
-    request.head.target = peer_state_codec::encode(told);
-    request.head.fields = {{"Host", peer}};
-    request.connect_timeout = connect_timeout;
-    request.max_idle = max_idle;
-    request.time_limit = answer_time;
-    request.bounds.max_body_bytes = max_answer_bytes;
     const auto made = m_calls.insert(m_calls.end(), nullptr);
     // The exchange outlives the reaction that ends it.
     const auto end = [this, made] {
@@ -85,7 +74,9 @@
     reactions.body = [](std::string_view) {};
     reactions.complete = end;
     reactions.failed = [end](exchange_fault) { end(); };
-    *made = m_context.peers.send(peer, std::move(request), std::move(reactions));
+    state_request_times times;
+    times.limit = answer_time;
+    *made = m_context.peers.send(peer, make_state_request(peer, told, times), std::move(reactions));
 }
 
 } // namespace galenaroad
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -1,5 +1,7 @@
 #include "relay/plan_fetcher.h"
 
+#include "relay/state_request.h"
+
 #include <algorithm>
 
 namespace galenaroad {
@@ -8,13 +10,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto connect_timeout = 400ms;
 constexpr auto max_idle = 8s;
 // A peer that is suspended or trickles must not be waited for without end.
 constexpr auto answer_time = 3s;
 // The longest way takes 30 ms, a busy small instance 200 ms.
 constexpr auto patience = 300ms;
-constexpr std::uint64_t max_answer_bytes = std::uint64_t{16} * 1024 * 1024;
 constexpr std::size_t max_questions = 4;
 constexpr std::size_t max_holders = 4;
 // A peer that has told of the plan and does not answer is not asked without end.
@@ -98,21 +98,15 @@
     asked.plan_version = m_context.plan_version();
     asked.digest = m_context.directory.digest();
     asked.address = m_context.location.address;
-    client_request request;
-    request.head.method = "GET";
-    request.head.target = peer_state_codec::encode(asked);
-    request.head.fields = {{"Host", peer}};
-    request.connect_timeout = connect_timeout;
-    request.max_idle = max_idle_time;
-    request.time_limit = answer_time;
-    request.bounds.max_body_bytes = max_answer_bytes;
+    const state_request_times times{max_idle_time, answer_time};
     const auto made = m_questions.insert(m_questions.end(), {peer, {}, nullptr});
     client_hooks reactions;
     reactions.head = [](const http_response_head&) {};
     reactions.body = [made](std::string_view bytes) { made->answer.append(bytes); };
     reactions.complete = [this, made] { on_answer(made); };
     reactions.failed = [this, made](exchange_fault) { on_failed(made); };
-    made->call = m_context.peers.send(peer, std::move(request), std::move(reactions));
+    made->call =
+        m_context.peers.send(peer, make_state_request(peer, asked, times), std::move(reactions));
 }
 
 void plan_fetcher::on_answer(std::list<question>::iterator asked)
--- a/src/tests/relay_node_test.cpp
+++ b/src/tests/relay_node_test.cpp
@@ -395,3 +395,19 @@
     CHECK(seen->upstream_id == fleet.b->id);
     CHECK(fleet.ask("GET", "/safe/x").status == 200);
 }
+
+TEST_CASE("relay_node: a heartbeat from the far future does not replace the upstream's", "[relay]")
+{
+    // Guards against a foreign heartbeat after which all of the upstream's own count as late.
+    relay_test_fleet fleet;
+    upstream_heartbeat foreign;
+    foreign.id = "i-foreign";
+    foreign.service = "s";
+    foreign.address = fleet.b->upstream.address;
+    foreign.slots = 2;
+    foreign.sequence = 1;
+    foreign.born_ms = unix_ms(fleet.time.system_now() + std::chrono::hours(24 * 36500));
+    fleet.b->node.note_heartbeat(foreign, [] {});
+    fleet.b->announce();
+    CHECK(fleet.ask("GET", "/safe/x").status == 200);
+}
