Tell readers that stop from readers that the store does not answer any more

Cause: a follower took a reader that ceased to be fresh for one that had lost the store, also when it had only stopped to read as it was not needed. The readers of a fleet's start stop together after 5 s; daemons that had followed them then began to read, and held that for 5 s. Change: the state that a peer tells says whether it reads the store.

--- a/src/relay/peer_follower.cpp
+++ b/src/relay/peer_follower.cpp
@@ -83,6 +83,7 @@
     m_position = state->position;
     m_status = state->is_fresh ? status::fresh : status::stale;
     m_was_fresh = m_was_fresh || state->is_fresh;
+    m_has_lost_store = m_was_fresh && state->is_reader && !state->is_fresh;
     m_timer = m_context.loop.after(state->is_fresh ? 0ms : pause_after_stale, [this] { ask(); });
     // The reaction may end this follower.
     const auto on_state = m_on_state;
@@ -93,6 +94,7 @@
 {
     m_context.loop.cancel(m_silence_timer);
     m_status = status::unreachable;
+    m_has_lost_store = false;
     m_context.ranking.note_unreachable(m_address, m_context.now());
 }
 
--- a/src/relay/peer_follower.h
+++ b/src/relay/peer_follower.h
@@ -37,8 +37,9 @@
     /// @return what the peer said last.
     status current() const { return m_status; }
 
-    /// @return true when the peer was fresh and has said that it is not any more.
-    bool has_lost_store() const { return m_was_fresh && m_status == status::stale; }
+    /// @return true when the store has ceased to answer the peer. One that has stopped to read,
+    /// since it is not needed, has not lost it.
+    bool has_lost_store() const { return m_has_lost_store; }
 
 private:
     void ask();
@@ -52,6 +53,7 @@
     change_position m_position;
     status m_status = status::asked;
     bool m_was_fresh = false; ///< At any time.
+    bool m_has_lost_store = false;
     std::shared_ptr<http_exchange> m_call;
     event_loop::timer_id m_timer = event_loop::no_timer;         ///< Before the next question.
     event_loop::timer_id m_silence_timer = event_loop::no_timer; ///< Since the last sign of life.
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -125,6 +125,7 @@
     json value{{"start", state.position.start},
                {"change", state.position.change},
                {"fresh", state.is_fresh},
+               {"reader", state.is_reader},
                {"complete", state.is_complete}};
     if (!state.fresh_daemons.empty()) {
         value["fresh_daemons"] = state.fresh_daemons;
@@ -150,6 +151,7 @@
     state.plan = plan_from(value);
     state.position = {text_at(value, "start"), number_at(value, "change")};
     state.is_fresh = flag_at(value, "fresh");
+    state.is_reader = flag_at(value, "reader");
     state.is_complete = flag_at(value, "complete");
     state.fresh_daemons = texts_at(value, "fresh_daemons");
     if (value.contains("owners")) {
--- a/src/relay/peer_state.h
+++ b/src/relay/peer_state.h
@@ -35,6 +35,7 @@
     std::vector<owner_record> owners;
     change_position position; ///< After these changes.
     bool is_fresh = false;    ///< The peer reads the store, and the store answers it.
+    bool is_reader = false;   ///< The peer reads the store, whether or not it is answered.
     bool is_complete = false; ///< The peer knows all owners.
     /// Daemons that the peer knows to be fresh, for those who find that it is not.
     std::vector<std::string> fresh_daemons;
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -33,7 +33,8 @@
       m_server(context,
                {[this]() -> const plan_document& { return m_hooks.document(); },
                 [this] { return m_role.is_reader() && m_hooks.has_store(); },
-                [this] { return m_hooks.is_complete(); }, [this] { return fresh_sources(); }},
+                [this] { return m_role.is_reader(); }, [this] { return m_hooks.is_complete(); },
+                [this] { return fresh_sources(); }},
                start_identity(m_random)),
       m_role(context.loop.time()),
       m_fetcher(
--- a/src/relay/reader_role.h
+++ b/src/relay/reader_role.h
@@ -13,7 +13,7 @@
     std::size_t before = 0;    ///< How many daemons come before this one.
     std::size_t fresh = 0;     ///< Those of them that have just said that the store answers them.
     std::size_t reachable = 0; ///< Those of them that answer at all, or have just been asked.
-    std::size_t lost = 0;      ///< Those of them that were fresh and have said that they are not.
+    std::size_t lost = 0;      ///< Those of them that the store has ceased to answer.
 };
 
 /// Decides whether this daemon reads the store, or learns from peers that do.
--- a/src/relay/state_server.cpp
+++ b/src/relay/state_server.cpp
@@ -77,6 +77,7 @@
     state.owners = owners_for(question);
     state.position = {m_start, m_context.directory.latest_change()};
     state.is_fresh = m_hooks.is_fresh();
+    state.is_reader = m_hooks.is_reader();
     state.is_complete = m_hooks.is_complete();
     if (!state.is_fresh) {
         state.fresh_daemons = m_hooks.fresh_daemons();
--- a/src/relay/state_server.h
+++ b/src/relay/state_server.h
@@ -19,6 +19,7 @@
     struct hooks {
         std::function<const plan_document&()> document; ///< In force; version 0 without one.
         std::function<bool()> is_fresh;    ///< The daemon reads the store, which answers it.
+        std::function<bool()> is_reader;   ///< The daemon reads the store.
         std::function<bool()> is_complete; ///< The daemon knows all owners.
         /// @return daemons that this one knows to be fresh.
         std::function<std::vector<std::string>()> fresh_daemons;
--- a/src/tests/decoder_robustness_test.cpp
+++ b/src/tests/decoder_robustness_test.cpp
@@ -189,12 +189,14 @@
     state.plan = plan_document{6, "text \"quoted\""};
     state.position = {"18", 9};
     state.is_fresh = true;
+    state.is_reader = true;
     const auto answer = peer_state_codec::decode_state(peer_state_codec::encode(state));
     REQUIRE(answer.has_value());
     REQUIRE(answer->plan.has_value());
     CHECK(answer->plan->text == "text \"quoted\"");
     CHECK(answer->position.change == 9);
     CHECK(answer->is_fresh);
+    CHECK(answer->is_reader);
     CHECK_FALSE(answer->is_complete);
 }
 
