--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -197,3 +197,41 @@
     fleet.run_for(plan_bound);
     CHECK(fleet.with_plan(2) == all);
 }
+
+TEST_CASE("metadata_store: a reaction to an answer may end the following", "[platform]")
+{
+    // Guards against a daemon that stops to read as the store answers, and calls it ever after.
+    process_clock time;
+    event_loop loop(time);
+    decision_log log(time);
+    structured_log::configure("test", "", log_level::error);
+    const auto address = free_address();
+    soak_store rows(loop, address, std::mt19937_64(1));
+    rows.write(wire::operator_table, wire::plan_key, plan_text(1));
+    const auto through = free_address();
+    soak_link link(loop, through, address);
+    metrics_registry metrics;
+    relay_metrics counters(metrics);
+    metadata_store store(loop, through, "dc", log, counters, random_engine(1));
+    bool was_told = false;
+    fleet_store::hooks hooks;
+    hooks.plan = [](const auto&) {};
+    hooks.owners = [](const auto&) {};
+    hooks.owners_listed = [] {};
+    hooks.tells_plan_changed = [&] {
+        was_told = true;
+        store.follow(false);
+    };
+    store.start(std::move(hooks));
+    store.watch_closely(true);
+    store.follow(true);
+    const auto run_for = [&](std::chrono::milliseconds limit) {
+        loop.after(limit, [&] { loop.stop(); });
+        loop.run();
+    };
+    run_for(500ms);
+    REQUIRE(was_told);
+    const auto sent = link.passed(soak_link::direction::forward);
+    run_for(2s);
+    CHECK(link.passed(soak_link::direction::forward) == sent);
+}
