Log and count how a daemon loses and finds a source of its plan

plan_source_lost and plan_source_found with the time in between; galenaroad_plan_has_source, galenaroad_plan_source_losses_total and galenaroad_state_requests_total. No decision changes.

--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -1,6 +1,7 @@
 #include "relay/peer_sync.h"
 
 #include "fleet/store_reader_order.h"
+#include "telemetry/duration_text.h"
 
 #include <algorithm>
 #include <random>
@@ -46,7 +47,8 @@
               m_unlisted_peers.erase(peer);
               m_context.ranking.record_unreachable(peer, m_context.now());
           }),
-      m_announcer(context, random_engine(m_random()))
+      m_announcer(context, random_engine(m_random())),
+      m_plan_source_changed_at(context.now())
 {
 }
 
@@ -92,8 +94,7 @@
 {
     update();
     ++m_ticks;
-    const bool is_synced = m_hooks.is_synced_with_store() || !fresh_peers().empty();
-    if (is_synced || m_ticks % ticks_per_request != 0 || m_fetcher.has_pending_requests()) {
+    if (has_plan_source() || m_ticks % ticks_per_request != 0 || m_fetcher.has_pending_requests()) {
         return;
     }
     const auto address = choose_random_peer();
@@ -134,6 +135,32 @@
         m_was_fresh = is_fresh;
         m_server.on_state_change();
     }
+    report_plan_source();
+}
+
+bool peer_sync::has_plan_source() const
+{
+    return m_hooks.is_synced_with_store() || !fresh_peers().empty();
+}
+
+// Tells how long nothing vouched for the plan, and who was followed then. A plan that arrives late
+// while there is a source has another cause than one that arrives late without a source.
+void peer_sync::report_plan_source()
+{
+    const bool has_source = has_plan_source();
+    if (has_source == m_had_plan_source) {
+        return;
+    }
+    const auto now = m_context.now();
+    m_context.log.note_state(has_source ? "plan_source_found" : "plan_source_lost",
+                             {{"after_ms", ms_text(now - m_plan_source_changed_at)},
+                              {"reads", m_role.is_reader() ? "true" : "false"},
+                              {"followed", std::to_string(m_followed.size())},
+                              {"skipped", std::to_string(m_skipped.size())},
+                              {"daemons", std::to_string(m_reader_order.size())}});
+    m_context.metrics.record_plan_source(has_source);
+    m_had_plan_source = has_source;
+    m_plan_source_changed_at = now;
 }
 
 void peer_sync::refresh_reader_order()
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -101,6 +101,8 @@
     preceding_daemons observe_preceding_daemons() const;
     bool precedes_self(const std::string& address) const;
     std::vector<std::string> fresh_peers() const;
+    bool has_plan_source() const;
+    void report_plan_source();
     void apply_state(const peer_state& state, const std::string& peer);
     std::string choose_random_peer();
 
@@ -122,6 +124,8 @@
     int m_ticks = 0;
     bool m_local_owners_known = false;
     bool m_was_fresh = false;
+    bool m_had_plan_source = false;
+    steady_time m_plan_source_changed_at; ///< When m_had_plan_source changed.
 };
 
 } // namespace galenaroad
--- a/src/relay/plan_announcer.cpp
+++ b/src/relay/plan_announcer.cpp
@@ -65,15 +65,16 @@
     request.wants_owners = false;
     const auto call = m_calls.insert(m_calls.end(), nullptr);
     // Keeps the exchange alive until its final callback has returned.
-    const auto end = [this, call] {
+    const auto end = [this, call](const char* outcome) {
+        m_context.metrics.record_state_request("announce", outcome);
         const auto finished_call = std::move(*call);
         m_calls.erase(call);
     };
     client_hooks callbacks;
     callbacks.head = [](const http_response_head&) {};
     callbacks.body = [](std::string_view) {};
-    callbacks.complete = end;
-    callbacks.failed = [end](exchange_error) { end(); };
+    callbacks.complete = [end] { end("ok"); };
+    callbacks.failed = [end](exchange_error) { end("failed"); };
     state_request_limits limits;
     limits.timeout = response_timeout;
     *call = m_context.peers.send(peer, make_state_http_request(peer, request, limits),
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -20,6 +20,10 @@
 // Limits the requests to a peer that has reported the plan but does not deliver it.
 constexpr int max_attempts_per_holder = 3;
 
+// Purposes of requests, for metrics.
+constexpr const char* fetch = "fetch";
+constexpr const char* poll = "poll";
+
 } // namespace
 
 plan_fetcher::plan_fetcher(relay_context& context, state_hook on_state,
@@ -67,9 +71,11 @@
 
 void plan_fetcher::request_state(const std::string& peer)
 {
-    if (m_requests.size() < max_pending_requests) {
-        send(peer, max_idle);
+    if (m_requests.size() >= max_pending_requests) {
+        m_context.metrics.record_state_request(poll, "not_sent");
+        return;
     }
+    send(peer, poll, max_idle);
 }
 
 // Sends a request to the holder with the fewest attempts, the most recent of these, and schedules a
@@ -78,7 +84,11 @@
 {
     m_context.loop.cancel(m_next_holder_timer);
     m_next_holder_timer = event_loop::no_timer;
-    if (m_wanted_version <= known_version() || m_requests.size() >= max_pending_requests) {
+    if (m_wanted_version <= known_version()) {
+        return;
+    }
+    if (m_requests.size() >= max_pending_requests) {
+        m_context.metrics.record_state_request(fetch, "not_sent");
         return;
     }
     const auto chosen =
@@ -94,17 +104,18 @@
     ++chosen->attempts;
     m_next_holder_timer =
         m_context.loop.after(next_holder_delay, [this] { request_from_next_holder(); });
-    send(chosen->peer, is_first ? max_idle : 0ms);
+    send(chosen->peer, fetch, is_first ? max_idle : 0ms);
 }
 
-void plan_fetcher::send(const std::string& peer, std::chrono::milliseconds max_idle_time)
+void plan_fetcher::send(const std::string& peer, const char* purpose,
+                        std::chrono::milliseconds max_idle_time)
 {
     state_request request;
     request.plan_version = m_context.plan_version();
     request.digest = m_context.directory.digest();
     request.address = m_context.location.address;
     const state_request_limits limits{max_idle_time, response_timeout};
-    const auto pending = m_requests.insert(m_requests.end(), {peer, {}, nullptr});
+    const auto pending = m_requests.insert(m_requests.end(), {peer, purpose, {}, nullptr});
     client_hooks callbacks;
     callbacks.head = [](const http_response_head&) {};
     callbacks.body = [pending](std::string_view bytes) { pending->response_body.append(bytes); };
@@ -118,6 +129,7 @@
 {
     const auto finished = std::move(*pending);
     m_requests.erase(pending);
+    m_context.metrics.record_state_request(finished.purpose, "ok");
     const auto state = peer_state_codec::decode_state(finished.response_body);
     if (!state) {
         m_context.log.note_state("peer_answer_unreadable", {{"peer", finished.peer}});
@@ -131,6 +143,7 @@
 {
     const auto finished = std::move(*pending);
     m_requests.erase(pending);
+    m_context.metrics.record_state_request(finished.purpose, "failed");
     m_on_unreachable(finished.peer);
     if (m_next_holder_timer != event_loop::no_timer) {
         request_from_next_holder();
--- a/src/relay/plan_fetcher.h
+++ b/src/relay/plan_fetcher.h
@@ -56,13 +56,14 @@
     /// A request that has not been completed.
     struct pending_request {
         std::string peer;
+        const char* purpose;
         std::string response_body;
         std::shared_ptr<http_exchange> call;
     };
 
     std::uint64_t known_version() const;
     void request_from_next_holder();
-    void send(const std::string& peer, std::chrono::milliseconds max_idle);
+    void send(const std::string& peer, const char* purpose, std::chrono::milliseconds max_idle);
     void on_response(std::list<pending_request>::iterator pending);
     void on_failed(std::list<pending_request>::iterator pending);
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -92,6 +92,30 @@
         .Increment();
 }
 
+void relay_metrics::record_plan_source(bool has_source)
+{
+    m_registry
+        .gauge("galenaroad_plan_has_source",
+               "1 while the store or a store reader vouches for the plan in force, 0 otherwise.",
+               {})
+        .Set(has_source ? 1 : 0);
+    if (!has_source) {
+        m_registry
+            .counter("galenaroad_plan_source_losses_total",
+                     "Times at which nothing vouched for the plan in force any more.", {})
+            .Increment();
+    }
+}
+
+void relay_metrics::record_state_request(const std::string& purpose, const std::string& outcome)
+{
+    m_registry
+        .counter("galenaroad_state_requests_total",
+                 "State requests to peers that are not followed, by purpose and outcome.",
+                 {{"purpose", purpose}, {"outcome", outcome}})
+        .Increment();
+}
+
 void relay_metrics::record_plan_errors(std::size_t count)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -61,6 +61,15 @@
     /// @param decision `asked`, or `queued` while another peer is being asked.
     void record_reported_plan(const std::string& decision);
 
+    /// Records whether the store or a fresh store reader vouches for the plan in force.
+    /// @param has_source true when one does.
+    void record_plan_source(bool has_source);
+
+    /// Records a state request to a peer that this daemon does not follow.
+    /// @param purpose `fetch`, `poll` or `announce`.
+    /// @param outcome `ok`, `failed` or `not_sent`.
+    void record_state_request(const std::string& purpose, const std::string& outcome);
+
     /// Records the number of errors in the plan in force.
     void record_plan_errors(std::size_t count);
 
