--- /dev/null
+++ b/src/tests/peer_sync_suspended_peers_test.cpp
@@ -0,0 +1,54 @@
+#include "support/suspendable_fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Every running daemon must use a new plan within this time after its write was acknowledged.
+constexpr auto max_plan_delay = 2s;
+// The same on deployments with large data centres.
+constexpr auto max_plan_delay_large = 3s;
+constexpr int large_data_centre = 16;
+// Within this time after the start, the fleet has its usual store readers.
+constexpr auto start_time = 8s;
+
+} // namespace
+
+TEST_CASE("peer_sync: a plan is used in time while the first half of the order is suspended",
+          "[platform]")
+{
+    // Guards against daemons that wait for one suspended daemon after another, so that the time
+    // until a change of the plan is noticed grows with the size of the data centre.
+    suspendable_fleet fleet;
+    fleet.add_data_centre("dc", large_data_centre);
+    fleet.run_for(start_time);
+    REQUIRE(fleet.behind(1) == 0);
+    fleet.suspend_first("dc", large_data_centre / 2);
+    fleet.run_for(100ms);
+    fleet.write_plan(2);
+    fleet.run_for(max_plan_delay_large);
+    CHECK(fleet.behind(2) == 0);
+}
+
+TEST_CASE("peer_sync: a plan from elsewhere reaches all running daemons of a data centre",
+          "[platform]")
+{
+    // Guards against a data centre in which one daemon has the plan and the others wait for readers
+    // that do not respond.
+    suspendable_fleet fleet;
+    fleet.add_data_centre("east", 4);
+    fleet.add_data_centre("west", large_data_centre);
+    fleet.run_for(start_time);
+    REQUIRE(fleet.behind(1) == 0);
+    fleet.suspend_first("west", large_data_centre / 2);
+    for (auto* const each : fleet.in_reader_order("west")) {
+        each->drop_store_responses();
+    }
+    fleet.run_for(100ms);
+    fleet.write_plan(2);
+    fleet.run_for(max_plan_delay);
+    CHECK(fleet.behind(2) == 0);
+}
--- a/src/tests/peer_sync_test.cpp
+++ b/src/tests/peer_sync_test.cpp
@@ -185,3 +185,26 @@
     REQUIRE(fleet.a->node.plan() != nullptr);
     CHECK(fleet.a->node.plan()->plan().version == 2);
 }
+
+TEST_CASE("peer_sync: requests without a response do not stop requests to other peers", "[relay]")
+{
+    // Guards against a daemon that asks nobody for a newer plan any more after several peers that
+    // reported it have not responded.
+    relay_test_fleet fleet;
+    fleet.shared.is_unreachable = true;
+    std::vector<std::unique_ptr<relay_test_node>> silent;
+    for (int each = 0; each < 4; ++each) {
+        silent.push_back(std::make_unique<relay_test_node>(fleet.loop, fleet.shared, fleet.log,
+                                                           "silent-" + std::to_string(each)));
+        silent.back()->link->cut(soak_link::direction::backward);
+    }
+    for (const auto& each : silent) {
+        report_plan(fleet, 2, each->peer_address);
+    }
+    fleet.run_for(1300ms);
+    fleet.b->store.deliver_plan({2, "plan"});
+    report_plan(fleet, 2, fleet.b->peer_address);
+    fleet.run_for(1s);
+    REQUIRE(fleet.a->node.plan() != nullptr);
+    CHECK(fleet.a->node.plan()->plan().version == 2);
+}
--- a/src/tests/support/free_address.h
+++ b/src/tests/support/free_address.h
@@ -4,6 +4,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Process.h>
+#include <atomic>
 #include <stdexcept>
 #include <string>
 
@@ -19,7 +20,7 @@
     constexpr int first_port = 10000;
     constexpr int ports_of_process = 220;
     constexpr int blocks = 100;
-    static int next = 0;
+    static std::atomic<int> next{0}; // Fleets of threads take addresses concurrently.
     const int block = static_cast<int>(Poco::Process::id()) % blocks;
     for (int tried = 0; tried < ports_of_process; ++tried) {
         const int port = first_port + block * ports_of_process + next++ % ports_of_process;
