Do not let silent peers stop requests for a newer plan

Cause: at most four requests were pending, each for up to 3 s. With four of them unanswered no further peer was asked, the retry timer was not set again, and reports of peers that were known already were ignored. Polls of random peers waited for each other in the same way: one silent peer stopped them for 3 s.

Change: a request whose peer has sent nothing is abandoned when there are too many for its purpose, so that another peer can be asked; the peer then counts as unreachable. Requests whose response is arriving are kept. Polls no longer wait for pending requests.

--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -94,7 +94,7 @@
 {
     update();
     ++m_ticks;
-    if (has_plan_source() || m_ticks % ticks_per_request != 0 || m_fetcher.has_pending_requests()) {
+    if (has_plan_source() || m_ticks % ticks_per_request != 0) {
         return;
     }
     const auto address = choose_random_peer();
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -23,7 +23,7 @@
 ///
 /// In each data centre a few daemons read the store, see store_reader_role, and the others follow
 /// them. When a peer reports a newer plan, the plan is fetched from it. While neither the store nor
-/// a store reader responds, the state of a random peer is requested at intervals.
+/// a store reader responds, the states of random peers are requested at intervals.
 class peer_sync {
 public:
     /// Callbacks for decisions and for what peers report, and access to the daemon's state.
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -15,15 +15,12 @@
 constexpr auto response_timeout = 3s;
 // The longest network path takes 30 ms, a busy small instance 200 ms.
 constexpr auto next_holder_delay = 300ms;
-constexpr std::size_t max_pending_requests = 4;
+// For each purpose.
+constexpr std::ptrdiff_t max_pending_requests = 4;
 constexpr std::size_t max_holders = 4;
 // Limits the requests to a peer that has reported the plan but does not deliver it.
 constexpr int max_attempts_per_holder = 3;
 
-// Purposes of requests, for metrics.
-constexpr const char* fetch = "fetch";
-constexpr const char* poll = "poll";
-
 } // namespace
 
 plan_fetcher::plan_fetcher(relay_context& context, state_hook on_state,
@@ -71,11 +68,9 @@
 
 void plan_fetcher::request_state(const std::string& peer)
 {
-    if (m_requests.size() >= max_pending_requests) {
-        m_context.metrics.record_state_request(poll, "not_sent");
-        return;
+    if (make_room(request_purpose::poll)) {
+        send(peer, request_purpose::poll, max_idle);
     }
-    send(peer, poll, max_idle);
 }
 
 // Sends a request to the holder with the fewest attempts, the most recent of these, and schedules a
@@ -87,10 +82,6 @@
     if (m_wanted_version <= known_version()) {
         return;
     }
-    if (m_requests.size() >= max_pending_requests) {
-        m_context.metrics.record_state_request(fetch, "not_sent");
-        return;
-    }
     const auto chosen =
         std::min_element(m_holders.rbegin(), m_holders.rend(),
                          [](const auto& a, const auto& b) { return a.attempts < b.attempts; });
@@ -100,14 +91,47 @@
         m_wanted_version = 0;
         return;
     }
-    const bool is_first = chosen->attempts == 0 && m_requests.empty();
-    ++chosen->attempts;
     m_next_holder_timer =
         m_context.loop.after(next_holder_delay, [this] { request_from_next_holder(); });
-    send(chosen->peer, fetch, is_first ? max_idle : 0ms);
+    if (!make_room(request_purpose::fetch)) {
+        return;
+    }
+    const bool is_first = chosen->attempts == 0 && m_requests.empty();
+    ++chosen->attempts;
+    send(chosen->peer, request_purpose::fetch, is_first ? max_idle : 0ms);
+}
+
+const char* plan_fetcher::name_of(request_purpose purpose)
+{
+    return purpose == request_purpose::fetch ? "fetch" : "poll";
+}
+
+// Abandons the oldest request of a peer that has sent nothing, if there are too many requests.
+// Returns false when all peers are sending their responses.
+bool plan_fetcher::make_room(request_purpose purpose)
+{
+    const auto pending = std::count_if(m_requests.begin(), m_requests.end(), [=](const auto& each) {
+        return each.purpose == purpose;
+    });
+    if (pending < max_pending_requests) {
+        return true;
+    }
+    const auto silent = std::find_if(m_requests.begin(), m_requests.end(), [=](const auto& each) {
+        return each.purpose == purpose && each.response_body.empty();
+    });
+    if (silent == m_requests.end()) {
+        m_context.metrics.record_state_request(name_of(purpose), "not_sent");
+        return false;
+    }
+    silent->call->cancel();
+    m_context.metrics.record_state_request(name_of(purpose), "failed");
+    const auto peer = silent->peer;
+    m_requests.erase(silent);
+    m_on_unreachable(peer);
+    return true;
 }
 
-void plan_fetcher::send(const std::string& peer, const char* purpose,
+void plan_fetcher::send(const std::string& peer, request_purpose purpose,
                         std::chrono::milliseconds max_idle_time)
 {
     state_request request;
@@ -129,7 +153,7 @@
 {
     const auto finished = std::move(*pending);
     m_requests.erase(pending);
-    m_context.metrics.record_state_request(finished.purpose, "ok");
+    m_context.metrics.record_state_request(name_of(finished.purpose), "ok");
     const auto state = peer_state_codec::decode_state(finished.response_body);
     if (!state) {
         m_context.log.note_state("peer_answer_unreadable", {{"peer", finished.peer}});
@@ -143,7 +167,7 @@
 {
     const auto finished = std::move(*pending);
     m_requests.erase(pending);
-    m_context.metrics.record_state_request(finished.purpose, "failed");
+    m_context.metrics.record_state_request(name_of(finished.purpose), "failed");
     m_on_unreachable(finished.peer);
     if (m_next_holder_timer != event_loop::no_timer) {
         request_from_next_holder();
--- a/src/relay/plan_fetcher.h
+++ b/src/relay/plan_fetcher.h
@@ -15,7 +15,8 @@
 /// Fetches the state of peers, mainly plans that are newer than the plan in force.
 ///
 /// When a peer does not respond at once, a request is sent in parallel to the next peer that has
-/// reported the plan. It uses a new connection, since an idle one may no longer work.
+/// reported the plan. It uses a new connection, since an idle one may no longer work. Requests to
+/// peers that stay silent are abandoned in favour of requests to others.
 class plan_fetcher {
 public:
     /// Called with a peer's response.
@@ -43,10 +44,13 @@
     /// @param peer the peer's address.
     void request_state(const std::string& peer);
 
-    /// @return true while a request is pending.
-    bool has_pending_requests() const { return !m_requests.empty(); }
-
 private:
+    /// Why a state is requested.
+    enum class request_purpose {
+        fetch, ///< The peer has reported a newer plan.
+        poll,  ///< Nothing vouches for the plan in force.
+    };
+
     /// A peer that has reported the wanted plan.
     struct holder {
         std::string peer;
@@ -56,14 +60,16 @@
     /// A request that has not been completed.
     struct pending_request {
         std::string peer;
-        const char* purpose;
+        request_purpose purpose;
         std::string response_body;
         std::shared_ptr<http_exchange> call;
     };
 
     std::uint64_t known_version() const;
     void request_from_next_holder();
-    void send(const std::string& peer, const char* purpose, std::chrono::milliseconds max_idle);
+    static const char* name_of(request_purpose purpose);
+    bool make_room(request_purpose purpose);
+    void send(const std::string& peer, request_purpose purpose, std::chrono::milliseconds max_idle);
     void on_response(std::list<pending_request>::iterator pending);
     void on_failed(std::list<pending_request>::iterator pending);
 
