Find a store reader in time behind many daemons that do not respond

Cause: the search for a reader went through a fixed order, two daemons at a time, 1.25 s each, and began again at the front after 2.5 s; with six silent daemons in front it never came to the seventh. A daemon that had just been sent a request counted as responding, so that the next reader waited 1 s and 1 s more for each place. Both times grew with the size of the data centre.

Change: the search is a class of its own, reader_tracker. Unreachable daemons, and those that have lost the store, no longer hold a place in the line of take-overs, and without any reader the delay grows with the logarithm of the place.

New, and not run on the earlier code, whose message lacks the field: store_reader_role: the take-over hardly depends on the size of the data centre.

--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -3,15 +3,14 @@
 #include "base/random_engine.h"
 #include "fleet/fleet_store.h"
 #include "net/http_server.h"
-#include "relay/peer_follower.h"
 #include "relay/plan_announcer.h"
 #include "relay/plan_fetcher.h"
+#include "relay/reader_tracker.h"
 #include "relay/relay_context.h"
 #include "relay/state_server.h"
 #include "relay/store_reader_role.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -78,29 +77,8 @@
     bool is_reader() const { return m_role.is_reader(); }
 
 private:
-    /// A peer that is followed.
-    struct followed_peer {
-        std::unique_ptr<peer_follower> follower;
-        steady_time stale_since; ///< Valid while is_stale is true.
-        bool is_stale = false;
-    };
-
-    /// A peer that is not followed for a while, because it was unreachable or stale.
-    struct skipped_peer {
-        steady_time until;
-        bool is_reachable = false;
-        bool has_lost_store = false;
-    };
-
     void tick();
     void update();
-    void refresh_reader_order();
-    std::vector<std::string> candidates() const;
-    void drop_unusable(const std::vector<std::string>& wanted);
-    void follow_more(const std::vector<std::string>& wanted);
-    preceding_daemons observe_preceding_daemons() const;
-    bool precedes_self(const std::string& address) const;
-    std::vector<std::string> fresh_peers() const;
     bool has_plan_source() const;
     void report_plan_source();
     void apply_state(const peer_state& state, const std::string& peer);
@@ -111,12 +89,7 @@
     random_engine m_random;
     state_server m_server;
     store_reader_role m_role;
-    /// Other daemons of the data centre; see store_reader_order.
-    std::vector<std::string> m_reader_order;
-    std::vector<std::string> m_suggested;    ///< Daemons that a peer reported as fresh.
-    std::uint64_t m_reader_order_change = 0; ///< Directory change from which it was made.
-    std::map<std::string, followed_peer> m_followed;
-    std::map<std::string, skipped_peer> m_skipped;
+    reader_tracker m_readers;
     /// Peers that contacted this daemon and may not be in the directory.
     std::set<std::string> m_unlisted_peers;
     plan_fetcher m_fetcher;
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -110,9 +110,8 @@
 // Returns false when all peers are sending their responses.
 bool plan_fetcher::make_room(request_purpose purpose)
 {
-    const auto pending = std::count_if(m_requests.begin(), m_requests.end(), [=](const auto& each) {
-        return each.purpose == purpose;
-    });
+    const auto pending = std::count_if(m_requests.begin(), m_requests.end(),
+                                       [=](const auto& each) { return each.purpose == purpose; });
     if (pending < max_pending_requests) {
         return true;
     }
--- a/src/relay/store_reader_role.cpp
+++ b/src/relay/store_reader_role.cpp
@@ -14,7 +14,9 @@
 constexpr auto delay_without_readers = 150ms;
 // Added for each daemon that may take over before this one, until its state reaches this one.
 constexpr auto step_with_readers = 700ms;
-constexpr auto step_without_readers = 50ms;
+// Added for each doubling of the position. Within one step, as many daemons take over as in all
+// steps before, so that at most twice as many read as are needed.
+constexpr auto doubling_step_without_readers = 150ms;
 // Readers that respond but have not been fresh yet are about to list the store.
 constexpr auto step_with_starting_readers = 1000ms;
 // When the store has stopped responding to the readers, it may still respond to other daemons. A
@@ -30,6 +32,16 @@
 // as when a followed reader stops, does not count.
 constexpr auto hold_time = 5s;
 
+/// @return 0 for 0, 1 for 1, 2 for 2 and 3, 3 for 4 to 7, and so on.
+int doublings(int position)
+{
+    int result = 0;
+    for (; position > 0; position /= 2) {
+        ++result;
+    }
+    return result;
+}
+
 } // namespace
 
 store_reader_role::store_reader_role(const clock& time) : m_clock(time) {}
@@ -58,20 +70,29 @@
     if (preceding.total < readers_per_data_centre) {
         return 0ms;
     }
-    const auto positions = static_cast<int>(preceding.total - readers_per_data_centre);
-    auto delay = delay_without_readers + step_without_readers * positions;
+    const int position = position_in_line(preceding);
+    auto delay = delay_without_readers + doubling_step_without_readers * doublings(position);
     if (preceding.fresh > 0) {
-        delay = delay_with_readers + step_with_readers * positions;
+        delay = delay_with_readers + step_with_readers * position;
     }
     else if (preceding.lost_store > 0) {
-        const auto prompt_steps = std::min(positions, prompt_positions);
+        const auto prompt_steps = std::min(position, prompt_positions);
         delay = delay_without_store + step_without_store * prompt_steps +
-                later_step_without_store * (positions - prompt_steps);
+                later_step_without_store * (position - prompt_steps);
     }
-    else if (preceding.reachable > 0) {
-        delay = delay_with_readers + step_with_starting_readers * positions;
+    else if (preceding.responding > 0) {
+        delay = delay_with_readers + step_with_starting_readers * position;
     }
     return std::min<std::chrono::milliseconds>(delay, max_delay);
 }
 
+// Number of daemons that may take over before this one. Daemons that are unreachable or have lost
+// the store do not count, and neither do as many as should read.
+int store_reader_role::position_in_line(const preceding_daemons& preceding)
+{
+    const auto unavailable = preceding.unreachable + preceding.lost_store;
+    const auto not_in_line = std::max(unavailable, readers_per_data_centre);
+    return preceding.total > not_in_line ? static_cast<int>(preceding.total - not_in_line) : 0;
+}
+
 } // namespace galenaroad
--- a/src/relay/store_reader_role.h
+++ b/src/relay/store_reader_role.h
@@ -10,18 +10,20 @@
 /// What a daemon knows of the peers that could read the store for it: the daemons of its data
 /// centre that precede it in the store_reader_order.
 struct preceding_daemons {
-    std::size_t total = 0;      ///< Number of daemons that precede this one.
-    std::size_t fresh = 0;      ///< Those that reported that the store responds to them.
-    std::size_t reachable = 0;  ///< Those that respond, or have just been sent a request.
-    std::size_t lost_store = 0; ///< Those to which the store has stopped responding.
+    std::size_t total = 0;       ///< Number of daemons that precede this one.
+    std::size_t fresh = 0;       ///< Those that reported that the store responds to them.
+    std::size_t responding = 0;  ///< Those that respond, or are expected to.
+    std::size_t lost_store = 0;  ///< Those to which the store has stopped responding.
+    std::size_t unreachable = 0; ///< Those that are known not to respond.
 };
 
 /// Decides whether this daemon reads the store or follows peers that do.
 ///
 /// Store calls are limited and cost money, so hundreds of daemons must not each read every change.
 /// A daemon reads the store unless enough preceding daemons do: the first ones of each data centre
-/// read, and the next ones take over when these fail. The take-over delay grows with the position
-/// in the order, so that a failure does not make all daemons read.
+/// read, and the next ones take over when these fail. The take-over delay grows with the logarithm
+/// of the position in the order: a failure does not make all daemons read, and in a large data
+/// centre the next change of the plan is still noticed in time.
 class store_reader_role {
 public:
     /// Daemons that read the store in each data centre. More than one, so that one may fail or fall
@@ -45,6 +47,7 @@
 
 private:
     static std::chrono::milliseconds takeover_delay(const preceding_daemons& preceding);
+    static int position_in_line(const preceding_daemons& preceding);
 
     const clock& m_clock;
     bool m_is_reader = false;
--- a/src/tests/store_reader_role_test.cpp
+++ b/src/tests/store_reader_role_test.cpp
@@ -76,6 +76,18 @@
     CHECK(update_for(time, alone, 4s, {39, 0, 0}));
 }
 
+TEST_CASE("store_reader_role: the take-over hardly depends on the size of the data centre",
+          "[relay]")
+{
+    // Guards against large data centres whose next reader takes over seconds after a loss.
+    manual_clock time;
+    store_reader_role last_of_many(time);
+    CHECK(update_for(time, last_of_many, 1500ms, {200, 0, 0}));
+    // Daemons that are known to be unreachable are not waited for.
+    store_reader_role first_reachable(time);
+    CHECK(update_for(time, first_reachable, 250ms, {9, 0, 0, 0, 9}));
+}
+
 TEST_CASE("store_reader_role: a daemon that took over continues to read for a while", "[relay]")
 {
     // Guards against a listing of the store for each reader that fails and returns.
