Use the store through the last daemons to which it responds

Cause: daemons at the end of the order waited 1 s for each place in front of them. Readers that had lost the store before they were followed counted as readers that were about to list it. A daemon that had a plan from elsewhere told only the daemons that it followed, and an announcement to another data centre ended after two daemons, whether or not they had responded.

Ruled out: shorter delays of the take-over itself. In an outage for all, every daemon would then list the store; 'store_reader_role: an outage of the store does not make all daemons read' forbids that.

Change: a daemon whose readers have lost the store reads the plan once, and becomes a reader if the store responds. Announcements to another data centre go on until two daemons have responded.

--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -35,6 +35,7 @@
         std::function<void(const owner_record&)> own_record_found;
         /// The result of is_plan_watch_healthy() has changed.
         std::function<void()> plan_watch_health_changed;
+        std::function<void()> probe_succeeded; ///< The store has responded to probe().
     };
 
     fleet_store() = default;
@@ -54,6 +55,10 @@
     /// Starts or stops watching the plan and all owners.
     virtual void watch(bool watches) = 0;
 
+    /// Reads the plan once, without watching it, to find out whether the store responds. A call
+    /// that fails is not repeated. Has no effect while the plan is watched.
+    virtual void probe() = 0;
+
     /// Chooses how soon a loss of the store is detected while the plan is watched.
     /// @param frequently true to detect it within about a second, by frequent calls.
     virtual void poll_frequently(bool frequently) = 0;
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -16,6 +16,10 @@
 // ticks each time.
 constexpr int ticks_per_request = 2;
 constexpr std::size_t max_unlisted_peers = 16;
+// Time without a source of the plan after which the store is probed, and what is added for each
+// doubling of the place in the store_reader_order. Daemons in front read the store sooner.
+constexpr auto probe_delay = 100ms;
+constexpr auto probe_delay_step = 100ms;
 
 std::string make_start_id(random_engine& random)
 {
@@ -70,17 +74,17 @@
 // The store readers of the data centre may not know a plan that did not come from them.
 void peer_sync::on_newer_plan(const std::string& source)
 {
-    if (source.empty()) {
-        if (m_role.polls_frequently()) {
-            m_announcer.announce_to_other_data_centres();
-        }
-        return;
+    const bool is_from_store = source.empty();
+    if (is_from_store && m_role.polls_frequently()) {
+        m_announcer.announce_to_other_data_centres();
     }
-    if (m_readers.follows(source)) {
-        return;
+    if (!is_from_store && !m_readers.follows(source)) {
+        for (const auto& address : m_readers.reachable()) {
+            m_announcer.announce_to(address);
+        }
     }
-    for (const auto& address : m_readers.reachable()) {
-        m_announcer.announce_to(address);
+    if (!has_plan_source()) {
+        m_announcer.announce_to_neighbours();
     }
 }
 
@@ -106,15 +110,8 @@
     m_readers.update(m_role.is_reader() && !m_hooks.is_synced_with_store());
     const bool was_reader = m_role.is_reader();
     const auto preceding = m_readers.preceding();
-    if (m_role.update(preceding) != was_reader) {
-        m_context.log.note_state("store_reader",
-                                 {{"reads", m_role.is_reader() ? "true" : "false"},
-                                  {"daemons_before", std::to_string(preceding.total)},
-                                  {"fresh", std::to_string(preceding.fresh)},
-                                  {"responding", std::to_string(preceding.responding)},
-                                  {"unreachable", std::to_string(preceding.unreachable)}});
-        m_hooks.watch_store(m_role.is_reader());
-    }
+    m_role.update(preceding);
+    apply_role(was_reader, preceding);
     m_hooks.poll_store_frequently(m_role.polls_frequently());
     const bool is_fresh = m_role.is_reader() && m_hooks.is_synced_with_store();
     if (is_fresh != m_was_fresh) {
@@ -122,6 +119,53 @@
         m_server.on_state_change();
     }
     report_plan_source();
+    probe_store_if_due();
+}
+
+void peer_sync::apply_role(bool was_reader, const preceding_daemons& preceding)
+{
+    if (m_role.is_reader() == was_reader) {
+        return;
+    }
+    m_context.log.note_state("store_reader",
+                             {{"reads", m_role.is_reader() ? "true" : "false"},
+                              {"daemons_before", std::to_string(preceding.total)},
+                              {"fresh", std::to_string(preceding.fresh)},
+                              {"responding", std::to_string(preceding.responding)},
+                              {"unreachable", std::to_string(preceding.unreachable)}});
+    m_hooks.watch_store(m_role.is_reader());
+}
+
+// The store may respond to this daemon while it does not respond to any reader, and nobody would
+// notice before the line of take-overs has come to this daemon.
+void peer_sync::probe_store_if_due()
+{
+    const auto preceding = m_readers.preceding();
+    const auto place = static_cast<int>(preceding.total);
+    const auto delay = probe_delay + probe_delay_step * store_reader_role::doublings(place);
+    const bool is_needed = m_is_probe_due && !m_had_plan_source && !m_role.is_reader();
+    if (is_needed && preceding.lost_store > 0 &&
+        m_context.now() - m_plan_source_changed_at >= delay) {
+        m_is_probe_due = false;
+        m_hooks.probe_store();
+    }
+}
+
+// Deferred, since the store may be in the middle of a callback.
+void peer_sync::on_store_probed()
+{
+    m_context.loop.after(0ms, [this] { take_over(); });
+}
+
+void peer_sync::take_over()
+{
+    if (has_plan_source() || m_role.is_reader()) {
+        return;
+    }
+    m_role.take_over();
+    apply_role(false, m_readers.preceding());
+    update();
+    m_announcer.announce_to_other_data_centres();
 }
 
 bool peer_sync::has_plan_source() const
@@ -145,6 +189,7 @@
                               {"skipped", std::to_string(m_readers.skipped_count())},
                               {"daemons", std::to_string(m_readers.daemon_count())}});
     m_context.metrics.record_plan_source(has_source);
+    m_is_probe_due = !has_source;
     m_had_plan_source = has_source;
     m_plan_source_changed_at = now;
 }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -32,6 +32,7 @@
         std::function<void(const std::vector<owner_record>&)> owners;
         std::function<void()> owners_complete; ///< A peer that knows all owners has sent them.
         std::function<void(bool)> watch_store;
+        std::function<void()> probe_store; ///< See fleet_store::probe().
         /// Whether a loss of the store must be detected soon; see fleet_store::poll_frequently().
         std::function<void(bool)> poll_store_frequently;
         /// @return true while the store responds to this daemon and has listed all owners.
@@ -66,6 +67,9 @@
     /// Called when the store has started or stopped responding to this daemon.
     void on_store_change() { update(); }
 
+    /// Called when the store has responded to a probe.
+    void on_store_probed();
+
     /// Called when a peer has reported the version of its plan.
     void on_plan_reported(std::uint64_t version, const std::string& address);
 
@@ -81,6 +85,9 @@
     void update();
     bool has_plan_source() const;
     void report_plan_source();
+    void probe_store_if_due();
+    void take_over();
+    void apply_role(bool was_reader, const preceding_daemons& preceding);
     void apply_state(const peer_state& state, const std::string& peer);
     std::string choose_random_peer();
 
@@ -99,6 +106,7 @@
     bool m_was_fresh = false;
     bool m_had_plan_source = false;
     steady_time m_plan_source_changed_at; ///< When m_had_plan_source changed.
+    bool m_is_probe_due = false; ///< The store has not been probed since the source was lost.
 };
 
 } // namespace galenaroad
--- a/src/relay/plan_announcer.h
+++ b/src/relay/plan_announcer.h
@@ -3,7 +3,9 @@
 #include "net/http_client.h"
 #include "relay/relay_context.h"
 
+#include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,21 +29,32 @@
     plan_announcer& operator=(plan_announcer&&) = delete;
     ~plan_announcer();
 
-    /// Announces the plan to one daemon of each other data centre, and shortly afterwards to a
-    /// second one, since the first may be unreachable.
+    /// Announces the plan to daemons of each other data centre, one after another, until two of
+    /// them have responded. One might end before it has passed the plan on.
     void announce_to_other_data_centres();
 
+    /// Announces the plan to a few random daemons of this data centre. When each daemon that gets a
+    /// plan in this way does the same, it reaches all of them, whoever reads the store.
+    void announce_to_neighbours();
+
     /// Announces the plan to one peer.
     /// @param peer its address.
     void announce_to(const std::string& peer);
 
 private:
-    std::vector<std::string> choose_one_per_data_centre();
+    using response_hook = std::function<void()>;
+
+    void announce_round();
+    std::map<std::string, std::vector<std::string>> reachable_peers() const;
+    const std::string& choose(const std::vector<std::string>& addresses);
+    void send(const std::string& peer, const response_hook& on_response);
 
     relay_context& m_context;
     random_engine m_random;
     std::list<std::shared_ptr<http_exchange>> m_calls;
-    event_loop::timer_id m_second_round_timer = event_loop::no_timer;
+    std::map<std::string, int> m_responses; ///< To the latest plan, by data centre.
+    int m_rounds = 0;                       ///< For the latest plan.
+    event_loop::timer_id m_round_timer = event_loop::no_timer;
 };
 
 } // namespace galenaroad
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -150,6 +150,7 @@
         m_store_listing_is_complete = false;
         m_dependencies.store.watch(follows);
     };
+    hooks.probe_store = [this] { m_dependencies.store.probe(); };
     hooks.poll_store_frequently = [this](bool closely) {
         m_dependencies.store.poll_frequently(closely);
     };
@@ -204,6 +205,7 @@
     };
     hooks.own_record_found = [this](const auto& record) { on_own_record_found(record); };
     hooks.plan_watch_health_changed = [this] { m_sync.on_store_change(); };
+    hooks.probe_succeeded = [this] { m_sync.on_store_probed(); };
     m_dependencies.store.start(std::move(hooks));
     list_local_owners_after(m_settings.first_list_delay * list_delay_factor_without_heartbeat);
 }
--- a/src/relay/store_reader_role.cpp
+++ b/src/relay/store_reader_role.cpp
@@ -32,16 +32,6 @@
 // as when a followed reader stops, does not count.
 constexpr auto hold_time = 5s;
 
-/// @return 0 for 0, 1 for 1, 2 for 2 and 3, 3 for 4 to 7, and so on.
-int doublings(int position)
-{
-    int result = 0;
-    for (; position > 0; position /= 2) {
-        ++result;
-    }
-    return result;
-}
-
 } // namespace
 
 store_reader_role::store_reader_role(const clock& time) : m_clock(time) {}
@@ -65,6 +55,21 @@
     return m_is_reader;
 }
 
+int store_reader_role::doublings(int position)
+{
+    int result = 0;
+    for (; position > 0; position /= 2) {
+        ++result;
+    }
+    return result;
+}
+
+void store_reader_role::take_over()
+{
+    m_is_reader = true;
+    m_last_needed_at = m_clock.steady_now();
+}
+
 std::chrono::milliseconds store_reader_role::takeover_delay(const preceding_daemons& preceding)
 {
     if (preceding.total < readers_per_data_centre) {
--- a/src/relay/store_reader_role.h
+++ b/src/relay/store_reader_role.h
@@ -38,6 +38,9 @@
     /// @return true when this daemon should read the store.
     bool update(const preceding_daemons& preceding);
 
+    /// Makes this daemon read the store now, since the store responds to it.
+    void take_over();
+
     /// @return true when the latest decision is to read the store.
     bool is_reader() const { return m_is_reader; }
 
@@ -45,6 +48,12 @@
     /// respond: it reads the store, and no preceding daemon is fresh or one has lost the store.
     bool polls_frequently() const { return m_is_reader && m_may_be_first; }
 
+    /// Number of steps in which delays grow with the position in a line, when as many daemons act
+    /// in each step as in all steps before.
+    /// @param position the position, from 0.
+    /// @return 0 for 0, 1 for 1, 2 for 2 and 3, 3 for 4 to 7, and so on.
+    static int doublings(int position);
+
 private:
     static std::chrono::milliseconds takeover_delay(const preceding_daemons& preceding);
     static int position_in_line(const preceding_daemons& preceding);
--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -79,6 +79,46 @@
     CHECK(fleet.with_plan(2) == all);
 }
 
+TEST_CASE("metadata_store: a probe is answered once, and not repeated when it fails", "[platform]")
+{
+    // Guards against daemons that keep calling a store which does not respond, although other
+    // daemons read it for them.
+    process_clock time;
+    event_loop loop(time);
+    decision_log log(time);
+    structured_log::configure("test", "", log_level::error);
+    const auto address = free_address();
+    soak_store rows(loop, address, std::mt19937_64(1));
+    rows.write(wire::operator_table, wire::plan_key, plan_text(1));
+    const auto link_address = free_address();
+    soak_link link(loop, link_address, address);
+    metrics_registry metrics;
+    relay_metrics counters(metrics);
+    metadata_store store(loop, link_address, "dc", log, counters, random_engine(1));
+    std::uint64_t version = 0;
+    int successes = 0;
+    fleet_store::hooks hooks;
+    hooks.plan = [&](const auto& document) { version = document.version; };
+    hooks.probe_succeeded = [&] { ++successes; };
+    store.start(std::move(hooks));
+    const auto run_for = [&](std::chrono::milliseconds limit) {
+        loop.after(limit, [&] { loop.stop(); });
+        loop.run();
+    };
+    store.probe();
+    run_for(300ms);
+    CHECK(version == 1);
+    CHECK(successes == 1);
+    CHECK_FALSE(store.is_plan_watch_healthy());
+    link.cut(soak_link::direction::backward);
+    store.probe();
+    run_for(2s);
+    const auto sent = link.passed(soak_link::direction::forward);
+    run_for(3s);
+    CHECK(link.passed(soak_link::direction::forward) == sent);
+    CHECK(successes == 1);
+}
+
 TEST_CASE("metadata_store: a callback may stop the watch", "[platform]")
 {
     // Guards against a daemon that stops watching from within a callback but keeps calling the
--- a/src/tests/peer_sync_suspended_peers_test.cpp
+++ b/src/tests/peer_sync_large_data_centre_test.cpp
@@ -52,3 +52,49 @@
     fleet.run_for(max_plan_delay);
     CHECK(fleet.behind(2) == 0);
 }
+
+TEST_CASE("peer_sync: a plan is used in time while the store responds to the last daemons only",
+          "[platform]")
+{
+    // Guards against daemons that could read the store but wait for readers that cannot, one second
+    // for each place in the order.
+    constexpr int lost_at_first = 2;
+    constexpr int lost_later = 14;
+    suspendable_fleet fleet;
+    fleet.add_data_centre("dc", large_data_centre);
+    fleet.run_for(start_time);
+    REQUIRE(fleet.behind(1) == 0);
+    const auto order = fleet.in_reader_order("dc");
+    for (int place = 0; place < lost_at_first; ++place) {
+        order[place]->drop_store_responses();
+    }
+    fleet.run_for(1100ms);
+    for (int place = lost_at_first; place < lost_later; ++place) {
+        order[place]->drop_store_responses();
+    }
+    fleet.run_for(100ms);
+    fleet.write_plan(2);
+    fleet.run_for(max_plan_delay_large);
+    CHECK(fleet.behind(2) == 0);
+}
+
+TEST_CASE("peer_sync: a plan from elsewhere reaches the few daemons of a data centre that run",
+          "[platform]")
+{
+    // Guards against announcements that are given up when the chosen daemons do not respond, and
+    // against a daemon that keeps an announced plan to itself.
+    constexpr int suspended = 12;
+    suspendable_fleet fleet;
+    fleet.add_data_centre("east", 4);
+    fleet.add_data_centre("west", large_data_centre);
+    fleet.run_for(start_time);
+    REQUIRE(fleet.behind(1) == 0);
+    fleet.suspend_first("west", suspended);
+    for (auto* const each : fleet.in_reader_order("west")) {
+        each->drop_store_responses();
+    }
+    fleet.run_for(100ms);
+    fleet.write_plan(2);
+    fleet.run_for(max_plan_delay_large);
+    CHECK(fleet.behind(2) == 0);
+}
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -69,6 +69,14 @@
 
     void poll_frequently(bool /*closely*/) override {}
 
+    void probe() override
+    {
+        if (!m_shared.is_unreachable && !m_follows) {
+            m_hooks.plan(m_shared.plan);
+            m_hooks.probe_succeeded();
+        }
+    }
+
     void publish(const owner_record& record) override
     {
         if (!m_shared.is_unreachable) {
