Let a reader say that it has lost the store, and probe again while it has

Cause: a follower took a reader for lost only if it had seen it fresh itself. Once skipped and followed anew, the same reader counted as one about to list the store, and the probe of the last commit was made once for each loss.

Change: the state response says lost_store: the daemon reads the store, which has stopped responding, or has not been listed for 2 s. Probes are repeated every 2 s while a preceding reader says so. Skipped daemons that have left the order no longer count as unreachable in the line of take-overs.

--- a/src/relay/peer_follower.cpp
+++ b/src/relay/peer_follower.cpp
@@ -83,8 +83,7 @@
     }
     m_position = state->position;
     m_status = state->is_fresh ? status::fresh : status::stale;
-    m_has_been_fresh = m_has_been_fresh || state->is_fresh;
-    m_has_lost_store = m_has_been_fresh && state->is_reader && !state->is_fresh;
+    m_has_lost_store = state->has_lost_store;
     m_request_timer =
         m_context.loop.after(state->is_fresh ? 0ms : stale_retry_delay, [this] { send_request(); });
     // The callback may destroy this follower.
--- a/src/relay/peer_follower.h
+++ b/src/relay/peer_follower.h
@@ -38,8 +38,8 @@
     /// @return state of the peer according to its last response.
     status current_status() const { return m_status; }
 
-    /// @return true when the store has stopped responding to the peer. A peer that has stopped
-    /// reading because it is not needed has not lost the store.
+    /// @return true when the peer has reported that it has lost the store. A peer that has stopped
+    /// reading because it is not needed has not.
     bool has_lost_store() const { return m_has_lost_store; }
 
 private:
@@ -53,7 +53,6 @@
     state_hook m_on_state;
     change_position m_position;
     status m_status = status::pending;
-    bool m_has_been_fresh = false; ///< At any time since the follower was created.
     bool m_has_lost_store = false;
     std::shared_ptr<http_exchange> m_call;
     event_loop::timer_id m_request_timer = event_loop::no_timer; ///< Until the next request.
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -126,6 +126,7 @@
                {"change", state.position.change},
                {"fresh", state.is_fresh},
                {"reader", state.is_reader},
+               {"lost_store", state.has_lost_store},
                {"complete", state.is_complete}};
     if (!state.fresh_daemons.empty()) {
         value["fresh_daemons"] = state.fresh_daemons;
@@ -152,6 +153,7 @@
     state.position = {text_at(value, "start"), number_at(value, "change")};
     state.is_fresh = flag_at(value, "fresh");
     state.is_reader = flag_at(value, "reader");
+    state.has_lost_store = flag_at(value, "lost_store");
     state.is_complete = flag_at(value, "complete");
     state.fresh_daemons = texts_at(value, "fresh_daemons");
     if (value.contains("owners")) {
--- a/src/relay/peer_state.h
+++ b/src/relay/peer_state.h
@@ -38,6 +38,8 @@
     change_position position; ///< After these changes.
     bool is_fresh = false;    ///< The peer reads the store, and the store responds to it.
     bool is_reader = false;   ///< The peer reads the store, whether or not the store responds.
+    /// The peer reads the store, which has stopped responding to it or has not responded for long.
+    bool has_lost_store = false;
     bool is_complete = false; ///< The peer knows all owners.
     /// Daemons that the peer knows to be fresh; only sent when the peer itself is not fresh.
     std::vector<std::string> fresh_daemons;
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -16,10 +16,15 @@
 // ticks each time.
 constexpr int ticks_per_request = 2;
 constexpr std::size_t max_unlisted_peers = 16;
+// A reader that has not listed the store within this time has lost it.
+constexpr auto max_listing_time = 2s;
 // Time without a source of the plan after which the store is probed, and what is added for each
 // doubling of the place in the store_reader_order. Daemons in front read the store sooner.
 constexpr auto probe_delay = 100ms;
 constexpr auto probe_delay_step = 100ms;
+// The store may begin to respond again to any daemon. In an outage for all, each daemon makes one
+// call in this time.
+constexpr auto probe_interval = 2s;
 
 std::string make_start_id(random_engine& random)
 {
@@ -35,8 +40,8 @@
       m_server(context,
                {[this]() -> const plan_document& { return m_hooks.plan_in_force(); },
                 [this] { return m_role.is_reader() && m_hooks.is_synced_with_store(); },
-                [this] { return m_role.is_reader(); }, [this] { return m_hooks.is_complete(); },
-                [this] { return m_readers.fresh(); }},
+                [this] { return m_role.is_reader(); }, [this] { return has_lost_store(); },
+                [this] { return m_hooks.is_complete(); }, [this] { return m_readers.fresh(); }},
                make_start_id(m_random)),
       m_role(context.loop.time()),
       m_readers(context, [this](const auto& state, const auto& peer) { apply_state(state, peer); }),
@@ -71,7 +76,6 @@
     m_server.on_state_change();
 }
 
-// The store readers of the data centre may not know a plan that did not come from them.
 void peer_sync::on_newer_plan(const std::string& source)
 {
     const bool is_from_store = source.empty();
@@ -79,11 +83,13 @@
         m_announcer.announce_to_other_data_centres();
     }
     if (!is_from_store && !m_readers.follows(source)) {
+        // The store readers of the data centre may not know the plan.
         for (const auto& address : m_readers.reachable()) {
             m_announcer.announce_to(address);
         }
     }
     if (!has_plan_source()) {
+        // The other daemons probably have no source either.
         m_announcer.announce_to_neighbours();
     }
 }
@@ -114,6 +120,7 @@
     apply_role(was_reader, preceding);
     m_hooks.poll_store_frequently(m_role.polls_frequently());
     const bool is_fresh = m_role.is_reader() && m_hooks.is_synced_with_store();
+    m_was_synced = m_was_synced || is_fresh;
     if (is_fresh != m_was_fresh) {
         m_was_fresh = is_fresh;
         m_server.on_state_change();
@@ -133,6 +140,8 @@
                               {"fresh", std::to_string(preceding.fresh)},
                               {"responding", std::to_string(preceding.responding)},
                               {"unreachable", std::to_string(preceding.unreachable)}});
+    m_reading_since = m_context.now();
+    m_was_synced = false;
     m_hooks.watch_store(m_role.is_reader());
 }
 
@@ -141,12 +150,15 @@
 void peer_sync::probe_store_if_due()
 {
     const auto preceding = m_readers.preceding();
+    if (m_had_plan_source || m_role.is_reader() || preceding.lost_store == 0) {
+        return;
+    }
     const auto place = static_cast<int>(preceding.total);
     const auto delay = probe_delay + probe_delay_step * store_reader_role::doublings(place);
-    const bool is_needed = m_is_probe_due && !m_had_plan_source && !m_role.is_reader();
-    if (is_needed && preceding.lost_store > 0 &&
-        m_context.now() - m_plan_source_changed_at >= delay) {
-        m_is_probe_due = false;
+    const auto due_at = std::max(m_plan_source_changed_at + delay, m_next_probe_at);
+    const auto now = m_context.now();
+    if (now >= due_at) {
+        m_next_probe_at = now + probe_interval;
         m_hooks.probe_store();
     }
 }
@@ -168,6 +180,15 @@
     m_announcer.announce_to_other_data_centres();
 }
 
+bool peer_sync::has_lost_store() const
+{
+    if (!m_role.is_reader() || m_hooks.is_synced_with_store()) {
+        return false;
+    }
+    const bool has_tried_for_long = m_context.now() - m_reading_since >= max_listing_time;
+    return m_was_synced || has_tried_for_long;
+}
+
 bool peer_sync::has_plan_source() const
 {
     return m_hooks.is_synced_with_store() || !m_readers.fresh().empty();
@@ -189,7 +210,6 @@
                               {"skipped", std::to_string(m_readers.skipped_count())},
                               {"daemons", std::to_string(m_readers.daemon_count())}});
     m_context.metrics.record_plan_source(has_source);
-    m_is_probe_due = !has_source;
     m_had_plan_source = has_source;
     m_plan_source_changed_at = now;
 }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -83,6 +83,7 @@
 private:
     void tick();
     void update();
+    bool has_lost_store() const;
     bool has_plan_source() const;
     void report_plan_source();
     void probe_store_if_due();
@@ -104,9 +105,11 @@
     int m_ticks = 0;
     bool m_local_owners_known = false;
     bool m_was_fresh = false;
+    bool m_was_synced = false;   ///< With the store, since m_reading_since.
+    steady_time m_reading_since; ///< When this daemon began or ended to read the store.
     bool m_had_plan_source = false;
     steady_time m_plan_source_changed_at; ///< When m_had_plan_source changed.
-    bool m_is_probe_due = false; ///< The store has not been probed since the source was lost.
+    steady_time m_next_probe_at;          ///< The store is not probed before.
 };
 
 } // namespace galenaroad
--- a/src/relay/reader_tracker.cpp
+++ b/src/relay/reader_tracker.cpp
@@ -89,9 +89,9 @@
     const auto now = m_context.now();
     for (auto each = m_skipped.begin(); each != m_skipped.end();) {
         const auto& skipped = each->second;
-        const bool is_due = skipped.until <= now;
+        const bool has_ended = skipped.until <= now || !contains(m_order, each->first);
         const bool is_worth_trying = skipped.is_reachable && is_suggested(each->first);
-        each = is_due || is_worth_trying ? m_skipped.erase(each) : std::next(each);
+        each = has_ended || is_worth_trying ? m_skipped.erase(each) : std::next(each);
     }
 }
 
--- a/src/relay/state_server.cpp
+++ b/src/relay/state_server.cpp
@@ -79,6 +79,7 @@
     state.position = {m_start_id, m_context.directory.latest_change()};
     state.is_fresh = m_hooks.is_fresh();
     state.is_reader = m_hooks.is_reader();
+    state.has_lost_store = m_hooks.has_lost_store();
     state.is_complete = m_hooks.is_complete();
     if (!state.is_fresh) {
         state.fresh_daemons = m_hooks.fresh_daemons();
--- a/src/tests/peer_sync_large_data_centre_test.cpp
+++ b/src/tests/peer_sync_large_data_centre_test.cpp
@@ -98,3 +98,27 @@
     fleet.run_for(max_plan_delay_large);
     CHECK(fleet.behind(2) == 0);
 }
+
+TEST_CASE("peer_sync: a plan is used in time after the store responds again to the last daemons",
+          "[platform]")
+{
+    // Guards against daemons that try the store once during an outage and then not again before the
+    // line of take-overs has come to them.
+    constexpr int returning = 2;
+    suspendable_fleet fleet;
+    fleet.add_data_centre("dc", large_data_centre);
+    fleet.run_for(start_time);
+    REQUIRE(fleet.behind(1) == 0);
+    const auto order = fleet.in_reader_order("dc");
+    for (auto* const each : order) {
+        each->drop_store_responses();
+    }
+    fleet.run_for(6s);
+    for (int place = large_data_centre - returning; place < large_data_centre; ++place) {
+        order[place]->restore_store_responses();
+    }
+    fleet.run_for(500ms);
+    fleet.write_plan(2);
+    fleet.run_for(max_plan_delay_large);
+    CHECK(fleet.behind(2) == 0);
+}
--- a/src/tests/support/suspendable_fleet.h
+++ b/src/tests/support/suspendable_fleet.h
@@ -36,7 +36,10 @@
     void suspend() { m_is_suspended = true; }
 
     /// Drops the store's responses to this daemon.
-    void drop_store_responses() { m_drops_store_responses = true; }
+    void drop_store_responses() { m_link_change = link_change::cut; }
+
+    /// Ends the loss of the store's responses.
+    void restore_store_responses() { m_link_change = link_change::heal; }
 
     bool is_suspended() const { return m_is_suspended; }
     std::uint64_t plan_version() const { return m_plan_version; }
@@ -46,6 +49,8 @@
 private:
     static constexpr auto poll_interval = std::chrono::milliseconds(10);
 
+    enum class link_change { none, cut, heal };
+
     void run(const std::string& store_address, unsigned seed)
     {
         process_clock time;
@@ -56,9 +61,7 @@
         daemon.node.on_heartbeat(daemon.make_heartbeat(1), [] {});
         std::function<void()> poll = [&] {
             m_plan_version = daemon.plan_version();
-            if (m_drops_store_responses.exchange(false)) {
-                daemon.drop_responses();
-            }
+            change_link(daemon);
             while (m_is_suspended) {
                 std::this_thread::sleep_for(poll_interval);
             }
@@ -72,11 +75,22 @@
         loop.run();
     }
 
+    void change_link(store_test_node& daemon)
+    {
+        const auto change = m_link_change.exchange(link_change::none);
+        if (change == link_change::cut) {
+            daemon.drop_responses();
+        }
+        if (change == link_change::heal) {
+            daemon.to_store.heal();
+        }
+    }
+
     std::string m_data_centre;
     std::string m_address = free_address();
     std::atomic<bool> m_is_ending{false};
     std::atomic<bool> m_is_suspended{false};
-    std::atomic<bool> m_drops_store_responses{false};
+    std::atomic<link_change> m_link_change{link_change::none};
     std::atomic<std::uint64_t> m_plan_version{0};
     std::thread m_thread; ///< Last, since it uses the other members.
 };
