--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -14,6 +14,32 @@
 // After all daemons start, more of them than needed read the store for this time.
 constexpr auto initial_reading_period = 6s;
 
+/// A client of the store whose connections to a stand-in can be cut.
+struct linked_store {
+    process_clock time;
+    event_loop loop{time};
+    decision_log log{time};
+    std::string address = free_address();
+    std::string link_address = free_address();
+    soak_store rows{loop, address, std::mt19937_64(1)};
+    soak_link link{loop, link_address, address};
+    metrics_registry metrics;
+    relay_metrics counters{metrics};
+    metadata_store store{loop, link_address, "dc", log, counters, random_engine(1)};
+
+    linked_store()
+    {
+        structured_log::configure("test", "", log_level::error);
+        rows.write(wire::operator_table, wire::plan_key, plan_text(1));
+    }
+
+    void run_for(std::chrono::milliseconds limit)
+    {
+        loop.after(limit, [this] { loop.stop(); });
+        loop.run();
+    }
+};
+
 } // namespace
 
 TEST_CASE("metadata_store: successful calls for owners do not hide a failing feed of the plan",
@@ -83,39 +109,24 @@
 {
     // Guards against daemons that keep calling a store which does not respond, although other
     // daemons read it for them.
-    process_clock time;
-    event_loop loop(time);
-    decision_log log(time);
-    structured_log::configure("test", "", log_level::error);
-    const auto address = free_address();
-    soak_store rows(loop, address, std::mt19937_64(1));
-    rows.write(wire::operator_table, wire::plan_key, plan_text(1));
-    const auto link_address = free_address();
-    soak_link link(loop, link_address, address);
-    metrics_registry metrics;
-    relay_metrics counters(metrics);
-    metadata_store store(loop, link_address, "dc", log, counters, random_engine(1));
+    linked_store client;
     std::uint64_t version = 0;
     int successes = 0;
     fleet_store::hooks hooks;
     hooks.plan = [&](const auto& document) { version = document.version; };
     hooks.probe_succeeded = [&] { ++successes; };
-    store.start(std::move(hooks));
-    const auto run_for = [&](std::chrono::milliseconds limit) {
-        loop.after(limit, [&] { loop.stop(); });
-        loop.run();
-    };
-    store.probe();
-    run_for(300ms);
+    client.store.start(std::move(hooks));
+    client.store.probe();
+    client.run_for(300ms);
     CHECK(version == 1);
     CHECK(successes == 1);
-    CHECK_FALSE(store.is_plan_watch_healthy());
-    link.cut(soak_link::direction::backward);
-    store.probe();
-    run_for(2s);
-    const auto sent = link.passed(soak_link::direction::forward);
-    run_for(3s);
-    CHECK(link.passed(soak_link::direction::forward) == sent);
+    CHECK_FALSE(client.store.is_plan_watch_healthy());
+    client.link.cut(soak_link::direction::backward);
+    client.store.probe();
+    client.run_for(2s);
+    const auto sent = client.link.passed(soak_link::direction::forward);
+    client.run_for(3s);
+    CHECK(client.link.passed(soak_link::direction::forward) == sent);
     CHECK(successes == 1);
 }
 
@@ -123,18 +134,7 @@
 {
     // Guards against a daemon that stops watching from within a callback but keeps calling the
     // store.
-    process_clock time;
-    event_loop loop(time);
-    decision_log log(time);
-    structured_log::configure("test", "", log_level::error);
-    const auto address = free_address();
-    soak_store rows(loop, address, std::mt19937_64(1));
-    rows.write(wire::operator_table, wire::plan_key, plan_text(1));
-    const auto link_address = free_address();
-    soak_link link(loop, link_address, address);
-    metrics_registry metrics;
-    relay_metrics counters(metrics);
-    metadata_store store(loop, link_address, "dc", log, counters, random_engine(1));
+    linked_store client;
     bool was_notified = false;
     fleet_store::hooks hooks;
     hooks.plan = [](const auto&) {};
@@ -142,18 +142,14 @@
     hooks.owners_listed = [] {};
     hooks.plan_watch_health_changed = [&] {
         was_notified = true;
-        store.watch(false);
-    };
-    store.start(std::move(hooks));
-    store.poll_frequently(true);
-    store.watch(true);
-    const auto run_for = [&](std::chrono::milliseconds limit) {
-        loop.after(limit, [&] { loop.stop(); });
-        loop.run();
+        client.store.watch(false);
     };
-    run_for(500ms);
+    client.store.start(std::move(hooks));
+    client.store.poll_frequently(true);
+    client.store.watch(true);
+    client.run_for(500ms);
     REQUIRE(was_notified);
-    const auto sent = link.passed(soak_link::direction::forward);
-    run_for(2s);
-    CHECK(link.passed(soak_link::direction::forward) == sent);
+    const auto sent = client.link.passed(soak_link::direction::forward);
+    client.run_for(2s);
+    CHECK(client.link.passed(soak_link::direction::forward) == sent);
 }
--- a/src/tests/peer_sync_test.cpp
+++ b/src/tests/peer_sync_test.cpp
@@ -102,6 +102,12 @@
     fleet.loop.run();
 }
 
+void check_plan(const relay_test_node& daemon, std::uint64_t version)
+{
+    REQUIRE(daemon.node.plan() != nullptr);
+    CHECK(daemon.node.plan()->plan().version == version);
+}
+
 } // namespace
 
 TEST_CASE("peer_sync: few daemons read the store, and all know the plan and the owners", "[relay]")
@@ -169,8 +175,7 @@
     report_plan(fleet, 2, silent.peer_address);
     report_plan(fleet, 2, fleet.b->peer_address);
     fleet.run_for(1s);
-    REQUIRE(fleet.a->node.plan() != nullptr);
-    CHECK(fleet.a->node.plan()->plan().version == 2);
+    check_plan(*fleet.a, 2);
 }
 
 TEST_CASE("peer_sync: a version that no peer has does not hide the next plan", "[relay]")
@@ -182,8 +187,7 @@
     fleet.b->store.deliver_plan({2, "plan"});
     report_plan(fleet, 2, fleet.b->peer_address);
     fleet.run_for(500ms);
-    REQUIRE(fleet.a->node.plan() != nullptr);
-    CHECK(fleet.a->node.plan()->plan().version == 2);
+    check_plan(*fleet.a, 2);
 }
 
 TEST_CASE("peer_sync: requests without a response do not stop requests to other peers", "[relay]")
@@ -205,6 +209,5 @@
     fleet.b->store.deliver_plan({2, "plan"});
     report_plan(fleet, 2, fleet.b->peer_address);
     fleet.run_for(1s);
-    REQUIRE(fleet.a->node.plan() != nullptr);
-    CHECK(fleet.a->node.plan()->plan().version == 2);
+    check_plan(*fleet.a, 2);
 }
