--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -8,7 +8,6 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
 #include <limits>
-#include <utility>
 
 namespace galenaroad {
 
@@ -18,8 +17,6 @@
 
 // Source of a plan from the store; the source of other plans is the address of a peer.
 constexpr const char* store_source = "store";
-// A state change is written to the store before it is acknowledged, unless the store takes longer.
-constexpr auto max_acknowledgement_delay = 600ms;
 // Clocks of instances differ by seconds, and jump by seconds, which is far below this bound.
 constexpr auto max_clock_skew = std::chrono::hours(24);
 // Clients learn of the shutdown from the readiness check, which runs once a second and has to fail
@@ -129,7 +126,8 @@
       m_entry_server(m_dependencies.loop, limits_for({}, m_settings),
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_dependencies.loop, peer_limits(m_settings),
-                    [this](auto client) { accept_peer(std::move(client)); })
+                    [this](auto client) { accept_peer(std::move(client)); }),
+      m_acknowledgements(m_dependencies.loop)
 {
 }
 
@@ -199,9 +197,8 @@
         on_all_owners_listed();
     };
     hooks.published = [this](std::uint64_t revision) {
-        m_stored_revision = revision;
         finish_restore("write");
-        acknowledge_stored();
+        m_acknowledgements.on_stored(revision);
     };
     hooks.own_record_found = [this](const auto& record) { on_own_record_found(record); };
     hooks.plan_watch_health_changed = [this] { m_sync.on_store_change(); };
@@ -373,10 +370,7 @@
         {{"from", source},
          {"state", std::to_string(static_cast<int>(m_context.owned.lifecycle().state()))}});
     publish();
-    for (auto& each : m_acknowledgements) {
-        each.revision = std::min(each.revision, m_published.revision);
-    }
-    acknowledge_stored();
+    m_acknowledgements.lower_revisions(m_published.revision);
 }
 
 // Without the store, the records of peers are the only source.
@@ -459,7 +453,7 @@
     const auto change = m_context.owned.on_departure(id);
     const bool may_be_known_later = m_context.owned.lifecycle().is_restoring();
     if (change == lifecycle_change::stale && may_be_known_later) {
-        acknowledge_when_stored(unknown_revision, std::move(acknowledge));
+        m_acknowledgements.add(unknown_revision, std::move(acknowledge));
         return;
     }
     acknowledge_change(change, std::move(acknowledge));
@@ -486,35 +480,7 @@
         acknowledge();
         return;
     }
-    acknowledge_when_stored(m_published.revision, std::move(acknowledge));
-}
-
-void relay_node::acknowledge_when_stored(std::uint64_t revision, std::function<void()> acknowledge)
-{
-    const auto id = ++m_latest_acknowledgement;
-    const auto timer = m_dependencies.loop.after(max_acknowledgement_delay, [this, id] {
-        acknowledge_if([id](const auto& each) { return each.id == id; });
-    });
-    m_acknowledgements.push_back({id, revision, std::move(acknowledge), timer});
-}
-
-void relay_node::acknowledge_stored()
-{
-    acknowledge_if([this](const auto& each) { return each.revision <= m_stored_revision; });
-}
-
-template <typename Predicate>
-void relay_node::acknowledge_if(Predicate is_due)
-{
-    std::vector<pending_acknowledgement> due;
-    auto pending = std::exchange(m_acknowledgements, {});
-    for (auto& each : pending) {
-        (is_due(each) ? due : m_acknowledgements).push_back(std::move(each));
-    }
-    for (const auto& each : due) {
-        m_dependencies.loop.cancel(each.timer);
-        each.acknowledge();
-    }
+    m_acknowledgements.add(m_published.revision, std::move(acknowledge));
 }
 
 void relay_node::accept_client(std::shared_ptr<server_exchange> client)
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -2,6 +2,7 @@
 
 #include "fleet/fleet_store.h"
 #include "net/http_server.h"
+#include "relay/acknowledgement_queue.h"
 #include "relay/entry_exchange.h"
 #include "relay/health_report_exchange.h"
 #include "relay/owner_exchange.h"
@@ -88,14 +89,6 @@
     void set_own_service(const std::string& service) { m_context.own_service = service; }
 
 private:
-    /// An announced departure whose acknowledgement waits until its record is stored.
-    struct pending_acknowledgement {
-        std::uint64_t id;
-        std::uint64_t revision; ///< Of the record.
-        std::function<void()> acknowledge;
-        event_loop::timer_id timer;
-    };
-
     void watch_store();
     void apply_plan(plan_document document, const std::string& source);
     void record_plan_errors(const routing_plan& plan);
@@ -112,10 +105,6 @@
     void finish_restore(const char* source);
     void trust_peers_later();
     void acknowledge_change(lifecycle_change change, std::function<void()> acknowledge);
-    void acknowledge_when_stored(std::uint64_t revision, std::function<void()> acknowledge);
-    void acknowledge_stored();
-    template <typename Predicate>
-    void acknowledge_if(Predicate is_due);
     void accept_client(std::shared_ptr<server_exchange> client);
     void accept_peer(std::shared_ptr<server_exchange> client);
     void handle_response_query(const std::shared_ptr<server_exchange>& client,
@@ -142,10 +131,8 @@
     std::set<std::shared_ptr<entry_exchange>> m_entry_requests;
     std::set<std::shared_ptr<owner_exchange>> m_owned_requests;
     std::map<std::uint64_t, std::weak_ptr<owner_exchange>> m_waiting_requests;
-    std::vector<pending_acknowledgement> m_acknowledgements;
-    std::uint64_t m_latest_acknowledgement = 0; ///< Id of the latest pending acknowledgement.
+    acknowledgement_queue m_acknowledgements;
     owner_record m_published;
-    std::uint64_t m_stored_revision = 0; ///< Latest own record that this process has stored.
     steady_time m_stopping_since;
     std::size_t m_unfinished = 0; ///< Requests in progress at the end of the stop time.
     std::function<void()> m_on_stopped;
