Log and count what the plan costs on its way

The logs told when a daemon had a plan, but not what had come in vain before: copies of a version in force, transfers that were cut off while bytes were arriving, and the time of decoding.

No logic changes.

Tests of peer_sync, metadata_store and relay_node pass.

--- a/src/relay/peer_follower.cpp
+++ b/src/relay/peer_follower.cpp
@@ -94,6 +94,9 @@
 void peer_follower::on_failed()
 {
     m_context.loop.cancel(m_silence_timer);
+    m_context.log.note_state(
+        "followed_peer_lost",
+        {{"peer", m_address}, {"received_bytes", std::to_string(m_response_body.size())}});
     m_status = status::unreachable;
     m_has_lost_store = false;
     m_context.ranking.record_unreachable(m_address, m_context.now());
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -1,6 +1,7 @@
 #include "relay/plan_fetcher.h"
 
 #include "relay/state_http_request.h"
+#include "telemetry/duration_text.h"
 
 #include <algorithm>
 
@@ -138,7 +139,8 @@
     request.digest = m_context.directory.digest();
     request.address = m_context.location.address;
     const state_request_limits limits{max_idle_time, response_timeout};
-    const auto pending = m_requests.insert(m_requests.end(), {peer, purpose, {}, nullptr});
+    const auto pending =
+        m_requests.insert(m_requests.end(), {peer, purpose, m_context.now(), {}, nullptr});
     client_hooks callbacks;
     callbacks.head = [](const http_response_head&) {};
     callbacks.body = [pending](std::string_view bytes) { pending->response_body.append(bytes); };
@@ -167,6 +169,11 @@
     const auto finished = std::move(*pending);
     m_requests.erase(pending);
     m_context.metrics.record_state_request(name_of(finished.purpose), "failed");
+    m_context.log.note_state("state_request_failed",
+                             {{"peer", finished.peer},
+                              {"purpose", name_of(finished.purpose)},
+                              {"received_bytes", std::to_string(finished.response_body.size())},
+                              {"after_ms", ms_text(m_context.now() - finished.sent_at)}});
     m_on_unreachable(finished.peer);
     if (m_next_holder_timer != event_loop::no_timer) {
         request_from_next_holder();
--- a/src/relay/plan_fetcher.h
+++ b/src/relay/plan_fetcher.h
@@ -61,6 +61,7 @@
     struct pending_request {
         std::string peer;
         request_purpose purpose;
+        steady_time sent_at;
         std::string response_body;
         std::shared_ptr<http_exchange> call;
     };
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -83,6 +83,28 @@
         .Increment();
 }
 
+void relay_metrics::record_plan_copy(const std::string& source, const std::string& decision,
+                                     std::size_t bytes)
+{
+    const std::map<std::string, std::string> labels{{"source", source}, {"decision", decision}};
+    m_registry
+        .counter("galenaroad_plan_copies_total",
+                 "Copies of plans that were received, by whether they were used.", labels)
+        .Increment();
+    m_registry
+        .counter("galenaroad_plan_copy_bytes_total", "Size of the plans that were received.",
+                 labels)
+        .Increment(static_cast<double>(bytes));
+}
+
+void relay_metrics::record_state_response(std::size_t bytes)
+{
+    m_registry
+        .counter("galenaroad_state_response_bytes_total",
+                 "Size of the responses to state requests of peers.", {})
+        .Increment(static_cast<double>(bytes));
+}
+
 void relay_metrics::record_reported_plan(const std::string& decision)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -57,6 +57,17 @@
     /// @param source `store` or `peer`.
     void record_plan(std::uint64_t version, const std::string& source);
 
+    /// Records a copy of a plan that this daemon has received.
+    /// @param source `store` or `peer`.
+    /// @param decision `used`, or `known` when the plan in force is not older.
+    /// @param bytes size of the plan's text.
+    void record_plan_copy(const std::string& source, const std::string& decision,
+                          std::size_t bytes);
+
+    /// Records a response to a state request of a peer.
+    /// @param bytes size of its body.
+    void record_state_response(std::size_t bytes);
+
     /// Records that a peer has reported the version of a newer plan.
     /// @param decision `asked`, or `queued` while another peer is being asked.
     void record_reported_plan(const std::string& decision);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -4,6 +4,7 @@
 #include "relay/owner_response_builder.h"
 #include "relay/peer_state.h"
 #include "relay/response_query_handler.h"
+#include "telemetry/duration_text.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
@@ -239,9 +240,19 @@
 
 void relay_node::apply_plan(plan_document document, const std::string& source)
 {
-    if (document.version <= std::max(m_plan_document.version, m_context.unreadable_plan_version)) {
+    const bool is_from_store = source == store_source;
+    const bool is_known =
+        document.version <= std::max(m_plan_document.version, m_context.unreadable_plan_version);
+    m_metrics.record_plan_copy(is_from_store ? "store" : "peer", is_known ? "known" : "used",
+                               document.text.size());
+    if (is_known) {
+        m_dependencies.log.note_state("plan_copy",
+                                      {{"version", std::to_string(document.version)},
+                                       {"from", source},
+                                       {"bytes", std::to_string(document.text.size())}});
         return;
     }
+    const auto started_at = m_context.now();
     auto decoded = m_dependencies.decode_plan(document);
     if (!decoded) {
         m_context.unreadable_plan_version = document.version;
@@ -254,14 +265,15 @@
     record_plan_errors(*decoded);
     m_entry_server.set_limits(limits_for(decoded->limits, m_settings));
     m_context.plan = std::make_shared<plan_index>(std::move(*decoded));
-    m_dependencies.log.note_state(
-        "plan_in_force", {{"version", std::to_string(document.version)},
-                          {"replaces", std::to_string(m_plan_document.version)},
-                          {"from", source},
-                          {"routes", std::to_string(m_context.plan->plan().routes.size())}});
+    m_dependencies.log.note_state("plan_in_force",
+                                  {{"version", std::to_string(document.version)},
+                                   {"replaces", std::to_string(m_plan_document.version)},
+                                   {"from", source},
+                                   {"routes", std::to_string(m_context.plan->plan().routes.size())},
+                                   {"bytes", std::to_string(document.text.size())},
+                                   {"decode_ms", ms_text(m_context.now() - started_at)}});
     const bool had_earlier_plan = m_plan_document.version > 0;
     m_plan_document = std::move(document);
-    const bool is_from_store = source == store_source;
     m_metrics.record_plan(m_plan_document.version, is_from_store ? "store" : "peer");
     m_sync.on_state_change();
     if (had_earlier_plan) {
--- a/src/relay/state_server.cpp
+++ b/src/relay/state_server.cpp
@@ -87,7 +87,9 @@
     http_response_head head;
     head.status = Poco::Net::HTTPResponse::HTTP_OK;
     head.fields = {{"Content-Type", "application/json"}};
-    client.respond(std::move(head), peer_state_codec::encode(state));
+    const auto body = peer_state_codec::encode(state);
+    m_context.metrics.record_state_response(body.size());
+    client.respond(std::move(head), body);
 }
 
 std::vector<owner_record> state_server::owners_for(const state_request& request) const
