--- a/src/tests/soak/soak_link.cpp
+++ b/src/tests/soak/soak_link.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_link.h"
 
 #include <Poco/Exception.h>
+#include <algorithm>
 
 namespace galenaroad {
 
@@ -76,12 +77,12 @@
 
 void soak_link::pass(const std::shared_ptr<pair>& through, direction way, std::string bytes)
 {
-    (way == direction::forward ? m_passed_forward : m_passed_backward) += bytes.size();
-    const bool is_cut = way == direction::forward ? m_cut_forward : m_cut_backward;
-    if (is_cut || through->is_silent) {
+    lane_of(way).passed += bytes.size();
+    if (lane_of(way).is_cut || through->is_silent) {
         through->has_lost = true;
         return;
     }
+    const auto delay = delay_for(way, bytes.size());
     const auto send = [through, way, bytes = std::move(bytes)] {
         const bool is_forward = way == direction::forward;
         auto& target = *(is_forward ? through->far : through->near);
@@ -89,11 +90,30 @@
         // A link holds little, so that a reader which is slow slows its writer down.
         (is_forward ? through->near : through->far)->pause(target.unsent() > max_held_bytes);
     };
-    if (m_delay.count() == 0) {
+    if (delay.count() == 0) {
         send();
         return;
     }
-    m_loop.after(m_delay, send);
+    const bool is_limited = m_rate > 0;
+    if (is_limited) {
+        // The source is read again when these bytes have passed, so the link holds few bytes.
+        (way == direction::forward ? through->near : through->far)->pause(true);
+    }
+    m_loop.after(delay, send);
+}
+
+// Returns the time until bytes that have arrived now are passed on.
+std::chrono::nanoseconds soak_link::delay_for(direction way, std::size_t bytes)
+{
+    if (m_rate == 0) {
+        return m_delay;
+    }
+    const auto now = m_loop.time().steady_now();
+    auto& free_at = lane_of(way).free_at;
+    const std::chrono::duration<double> time(static_cast<double>(bytes) /
+                                             static_cast<double>(m_rate));
+    free_at = std::max(free_at, now) + std::chrono::duration_cast<std::chrono::nanoseconds>(time);
+    return m_delay + (free_at - now);
 }
 
 void soak_link::close(const std::shared_ptr<pair>& through)
@@ -125,8 +145,9 @@
 void soak_link::heal()
 {
     m_delay = {};
-    m_cut_forward = false;
-    m_cut_backward = false;
+    m_rate = 0;
+    m_forward.is_cut = false;
+    m_backward.is_cut = false;
     const auto pairs = m_pairs;
     for (const auto& each : pairs) {
         if (each->has_lost && !each->is_silent) {
--- a/src/tests/soak/soak_link.h
+++ b/src/tests/soak/soak_link.h
@@ -28,11 +28,15 @@
     /// Delays all bytes.
     void delay(std::chrono::milliseconds time) { m_delay = time; }
 
+    /// Limits how many bytes pass in each direction and second, over all connections.
+    /// @param bytes_per_second the limit; 0 for none.
+    void limit_rate(std::size_t bytes_per_second) { m_rate = bytes_per_second; }
+
     /// Resets all open connections.
     void reset_all();
 
     /// Loses all bytes of one direction, of new connections too.
-    void cut(direction way) { (way == direction::forward ? m_cut_forward : m_cut_backward) = true; }
+    void cut(direction way) { lane_of(way).is_cut = true; }
 
     /// Makes the open connections silent for good, while new ones work.
     void silence_open();
@@ -40,7 +44,7 @@
     /// @return bytes of one direction that have arrived at the link so far.
     std::size_t passed(direction way) const
     {
-        return way == direction::forward ? m_passed_forward : m_passed_backward;
+        return way == direction::forward ? m_forward.passed : m_backward.passed;
     }
 
     /// Ends delays and cuts; connections that lost bytes are reset.
@@ -49,6 +53,15 @@
 private:
     struct pair;
 
+    /// What has passed in one direction, and when the limited rate admits more.
+    struct lane {
+        std::size_t passed = 0;
+        steady_time free_at;
+        bool is_cut = false;
+    };
+
+    lane& lane_of(direction way) { return way == direction::forward ? m_forward : m_backward; }
+    std::chrono::nanoseconds delay_for(direction way, std::size_t bytes);
     void accept();
     void connect(const std::shared_ptr<pair>& made);
     void pass(const std::shared_ptr<pair>& through, direction way, std::string bytes);
@@ -59,10 +72,9 @@
     Poco::Net::ServerSocket m_socket;
     std::set<std::shared_ptr<pair>> m_pairs;
     std::chrono::milliseconds m_delay{0};
-    std::size_t m_passed_forward = 0;
-    std::size_t m_passed_backward = 0;
-    bool m_cut_forward = false;
-    bool m_cut_backward = false;
+    std::size_t m_rate = 0; ///< Bytes a second in each direction; 0 for no limit.
+    lane m_forward;
+    lane m_backward;
 };
 
 } // namespace galenaroad
