--- a/scripts/measure_capacity.sh
+++ b/scripts/measure_capacity.sh
@@ -14,6 +14,7 @@
   grep MemTotal /proc/meminfo
 } >"$out/machine.txt"
 "$build/bin/entry_capacity" --csv "$out/entry.csv"
+"$build/bin/plan_capacity" --csv "$out/plan.csv"
 "$build/bin/action_cost" >"$out/actions.csv"
 scripts/measure_path.py "$build" "$out"
 "$build/bin/control_capacity" --sizes 100,300,1000 --seconds 60 --seed 1 --csv "$out/control.csv"
