--- a/src/tests/peer_sync_test.cpp
+++ b/src/tests/peer_sync_test.cpp
@@ -82,26 +82,6 @@
     }
 };
 
-/// Reports to node a that a peer has a plan, by a state request in the peer's name.
-void report_plan(relay_test_fleet& fleet, std::uint64_t version, const std::string& peer)
-{
-    state_request request;
-    request.plan_version = version;
-    request.address = peer;
-    client_request http_request;
-    http_request.head.method = "GET";
-    http_request.head.target = peer_state_codec::encode(request);
-    http_request.head.fields = {{"Host", "h"}};
-    client_hooks hooks;
-    hooks.head = [](const auto&) {};
-    hooks.body = [](std::string_view) {};
-    hooks.complete = [&fleet] { fleet.loop.stop(); };
-    hooks.failed = [&fleet](exchange_error) { fleet.loop.stop(); };
-    const auto call =
-        fleet.client.send(fleet.a->peer_address, std::move(http_request), std::move(hooks));
-    fleet.loop.run();
-}
-
 void check_plan(const relay_test_node& daemon, std::uint64_t version)
 {
     REQUIRE(daemon.node.plan() != nullptr);
@@ -172,8 +152,8 @@
     silent.store.deliver_plan({2, "plan"});
     silent.link->cut(soak_link::direction::backward);
     fleet.run_for(100ms);
-    report_plan(fleet, 2, silent.peer_address);
-    report_plan(fleet, 2, fleet.b->peer_address);
+    fleet.report_plan(2, silent.peer_address);
+    fleet.report_plan(2, fleet.b->peer_address);
     fleet.run_for(1s);
     check_plan(*fleet.a, 2);
 }
@@ -182,10 +162,10 @@
 {
     // Guards against a daemon that waits for a plan version that was reported wrongly.
     relay_test_fleet fleet;
-    report_plan(fleet, std::numeric_limits<std::uint64_t>::max(), fleet.b->peer_address);
+    fleet.report_plan(std::numeric_limits<std::uint64_t>::max(), fleet.b->peer_address);
     fleet.run_for(1500ms);
     fleet.b->store.deliver_plan({2, "plan"});
-    report_plan(fleet, 2, fleet.b->peer_address);
+    fleet.report_plan(2, fleet.b->peer_address);
     fleet.run_for(500ms);
     check_plan(*fleet.a, 2);
 }
@@ -203,11 +183,11 @@
         silent.back()->link->cut(soak_link::direction::backward);
     }
     for (const auto& each : silent) {
-        report_plan(fleet, 2, each->peer_address);
+        fleet.report_plan(2, each->peer_address);
     }
     fleet.run_for(1300ms);
     fleet.b->store.deliver_plan({2, "plan"});
-    report_plan(fleet, 2, fleet.b->peer_address);
+    fleet.report_plan(2, fleet.b->peer_address);
     fleet.run_for(1s);
     check_plan(*fleet.a, 2);
 }
--- a/src/tests/plan_fetcher_test.cpp
+++ b/src/tests/plan_fetcher_test.cpp
@@ -67,54 +67,28 @@
     http_server m_server;
 };
 
-/// A daemon that fetches plans from peers of the test.
-struct fetching_node {
-    relay_test_fleet fleet;
-    relay_test_node& node = *fleet.a;
-
-    /// Reports a version to the node, by a state request in the peer's name.
-    void report(std::uint64_t version, const std::string& peer)
-    {
-        state_request request;
-        request.plan_version = version;
-        request.address = peer;
-        client_request http_request;
-        http_request.head.method = "GET";
-        http_request.head.target = peer_state_codec::encode(request);
-        http_request.head.fields = {{"Host", "h"}};
-        client_hooks hooks;
-        hooks.head = [](const auto&) {};
-        hooks.body = [](std::string_view) {};
-        hooks.complete = [this] { fleet.loop.stop(); };
-        hooks.failed = [this](exchange_error) { fleet.loop.stop(); };
-        const auto call =
-            fleet.client.send(node.peer_address, std::move(http_request), std::move(hooks));
-        fleet.loop.run();
-    }
-};
-
 } // namespace
 
 TEST_CASE("plan_fetcher: another peer continues where a peer has fallen silent", "[relay]")
 {
     // Guards against a large plan that is fetched from the beginning whenever a connection breaks,
     // and against a wait for a suspended peer.
-    fetching_node fetching;
-    page_peer silent(fetching.fleet.loop, [](page_peer& peer, server_exchange& client) {
+    relay_test_fleet fleet;
+    page_peer silent(fleet.loop, [](page_peer& peer, server_exchange& client) {
         if (peer.positions.size() < 2) {
             peer.send_page(client);
         }
     });
-    page_peer other(fetching.fleet.loop,
+    page_peer other(fleet.loop,
                     [](page_peer& peer, server_exchange& client) { peer.send_page(client); });
     for (auto* const each : {&silent, &other}) {
         each->plans.replace(make_test_plan(2, make_contents("s")));
     }
-    fetching.report(2, silent.address);
-    fetching.report(2, other.address);
-    fetching.fleet.run_for(1s);
-    CHECK(fetching.node.node.plan()->version() == 2);
-    CHECK(fetching.node.node.plan()->route_count() == routes);
+    fleet.report_plan(2, silent.address);
+    fleet.report_plan(2, other.address);
+    fleet.run_for(1s);
+    CHECK(fleet.a->node.plan()->version() == 2);
+    CHECK(fleet.a->node.plan()->route_count() == routes);
     REQUIRE(silent.positions.size() == 2);
     REQUIRE_FALSE(other.positions.empty());
     CHECK_FALSE(other.positions.front().empty());
@@ -124,16 +98,16 @@
 {
     // Guards against daemons that wait for the one peer which has reported the plan, so that it
     // serves a whole data centre.
-    fetching_node fetching;
-    page_peer holder(fetching.fleet.loop,
+    relay_test_fleet fleet;
+    page_peer holder(fleet.loop,
                      [](page_peer& peer, server_exchange& client) { peer.send_page(client); });
     holder.plans.replace(make_test_plan(2, make_contents("s")));
-    page_peer busy(fetching.fleet.loop, [&](page_peer&, server_exchange& client) {
+    page_peer busy(fleet.loop, [&](page_peer&, server_exchange& client) {
         page_peer::refuse(client, holder.address);
     });
-    fetching.report(2, busy.address);
-    fetching.fleet.run_for(1s);
-    CHECK(fetching.node.node.plan()->version() == 2);
+    fleet.report_plan(2, busy.address);
+    fleet.run_for(1s);
+    CHECK(fleet.a->node.plan()->version() == 2);
     CHECK_FALSE(holder.positions.empty());
 }
 
@@ -141,16 +115,16 @@
 {
     // Guards against a daemon that keeps a route which its peer has never had, and against one that
     // asks for the same change again and again.
-    fetching_node fetching;
-    page_peer peer(fetching.fleet.loop,
+    relay_test_fleet fleet;
+    page_peer peer(fleet.loop,
                    [](page_peer& sender, server_exchange& client) { sender.send_page(client); });
     // The peer's version 1 is not that of the node, so the change does not lead to its version 2.
     peer.plans.replace(make_test_plan(1, make_contents("s")));
     peer.plans.replace(make_test_plan(2, {{"route-0", "t"}}));
-    fetching.report(2, peer.address);
-    fetching.fleet.run_for(2s);
-    CHECK(fetching.node.node.plan()->version() == 2);
-    CHECK(fetching.node.node.plan()->route_count() == 1);
+    fleet.report_plan(2, peer.address);
+    fleet.run_for(2s);
+    CHECK(fleet.a->node.plan()->version() == 2);
+    CHECK(fleet.a->node.plan()->route_count() == 1);
     REQUIRE(peer.bases.size() >= 2);
     CHECK(peer.bases.front() == 1);
     CHECK(peer.bases.back() == 0);
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -346,6 +346,25 @@
         return call->response;
     }
 
+    /// Reports to the first node that a peer has a plan, by a state request in the peer's name.
+    void report_plan(std::uint64_t version, const std::string& peer)
+    {
+        state_request report;
+        report.plan_version = version;
+        report.address = peer;
+        client_request http_request;
+        http_request.head.method = "GET";
+        http_request.head.target = peer_state_codec::encode(report);
+        http_request.head.fields = {{"Host", "h"}};
+        client_hooks hooks;
+        hooks.head = [](const auto&) {};
+        hooks.body = [](std::string_view) {};
+        hooks.complete = [this] { loop.stop(); };
+        hooks.failed = [this](exchange_error) { loop.stop(); };
+        const auto call = client.send(a->peer_address, std::move(http_request), std::move(hooks));
+        loop.run();
+    }
+
     void run_for(std::chrono::milliseconds limit)
     {
         loop.after(limit, [this] { loop.stop(); });
