--- a/src/relay/plan_server.cpp
+++ b/src/relay/plan_server.cpp
@@ -55,7 +55,7 @@
     auto& source = find_source(*request);
     const bool is_continued = request->version == source.version();
     const auto position = is_continued ? request->position : std::string();
-    const bool is_admitted = source.is_single_page() || admit(request->address, source.version());
+    const bool is_admitted = source.is_single_page() || admit(request->address);
     if (!is_admitted || (position.empty() && is_behind())) {
         refuse(*client);
         return;
@@ -91,17 +91,17 @@
     return m_sources.front();
 }
 
-bool plan_server::admit(const std::string& peer, std::uint64_t version)
+bool plan_server::admit(const std::string& peer)
 {
     const auto now = m_context.now();
     for (auto each = m_transfers.begin(); each != m_transfers.end();) {
-        const bool has_ended = now - each->second.last_request_at > max_transfer_pause;
+        const bool has_ended = now - each->second > max_transfer_pause;
         each = has_ended ? m_transfers.erase(each) : std::next(each);
     }
     if (m_transfers.count(peer) == 0 && m_transfers.size() >= max_transfers) {
         return false;
     }
-    m_transfers[peer] = {version, now};
+    m_transfers[peer] = now;
     return true;
 }
 
--- a/src/relay/plan_server.h
+++ b/src/relay/plan_server.h
@@ -40,14 +40,8 @@
         steady_time send_at;
     };
 
-    /// A peer that gets a change of several pages.
-    struct transfer {
-        std::uint64_t version = 0;
-        steady_time last_request_at;
-    };
-
     plan_change_source& find_source(const plan_page_request& request);
-    bool admit(const std::string& peer, std::uint64_t version);
+    bool admit(const std::string& peer);
     bool is_behind() const;
     void end_transfer(const std::string& peer, std::uint64_t version);
     void send_page(const std::shared_ptr<server_exchange>& client, const shared_body& body);
@@ -55,9 +49,10 @@
     void refuse(server_exchange& client) const;
 
     relay_context& m_context;
-    std::size_t m_rate;                          ///< Bytes a second for pages; 0 for no limit.
-    std::list<plan_change_source> m_sources;     ///< Most recently used first.
-    std::map<std::string, transfer> m_transfers; ///< By the peer's address.
+    std::size_t m_rate;                      ///< Bytes a second for pages; 0 for no limit.
+    std::list<plan_change_source> m_sources; ///< Most recently used first.
+    /// Latest requests of the peers that get a change of several pages, by their address.
+    std::map<std::string, steady_time> m_transfers;
     /// Peers that have got m_holders_version completely, the latest ones.
     std::deque<std::string> m_holders;
     std::uint64_t m_holders_version = 0;
