Pass small pieces over a link with a limited rate

The test "metadata_store: a response that trickles is given up" did not guard what it names: the link passed what it had read at once, up to 64 KB, so that a receiver at 4 KB/s saw pauses of seconds and a limit of silence alone ended the call too.

A link now passes ten pieces a second and reads on when they have passed.

--- a/src/tests/soak/soak_link.cpp
+++ b/src/tests/soak/soak_link.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t max_held_bytes = std::size_t{256} * 1024;
+// A limited rate passes small pieces, so that the receiver sees no long pauses.
+constexpr std::size_t pieces_per_second = 10;
 
 } // namespace
 
@@ -16,6 +18,15 @@
     std::shared_ptr<byte_channel> far;
     bool is_silent = false;
     bool has_lost = false;
+    int delayed_forward = 0; ///< Pieces that have arrived and are not passed on yet.
+    int delayed_backward = 0;
+
+    byte_channel& source(direction way) const { return way == direction::forward ? *near : *far; }
+    byte_channel& target(direction way) const { return way == direction::forward ? *far : *near; }
+    int& delayed(direction way)
+    {
+        return way == direction::forward ? delayed_forward : delayed_backward;
+    }
 };
 
 soak_link::soak_link(event_loop& loop, const std::string& address, std::string target)
@@ -60,8 +71,12 @@
             }
         };
         hooks.drained = [weak, way] {
-            if (const auto through = weak.lock()) {
-                (way == direction::forward ? through->far : through->near)->pause(false);
+            // The bytes sent by this end came from the other one.
+            const auto other_way =
+                way == direction::forward ? direction::backward : direction::forward;
+            const auto through = weak.lock();
+            if (through && through->delayed(other_way) == 0) {
+                through->source(other_way).pause(false);
             }
         };
         hooks.ended = [this, weak](channel_end) {
@@ -82,24 +97,37 @@
         through->has_lost = true;
         return;
     }
+    const auto piece_size =
+        m_rate == 0 ? bytes.size() : std::max<std::size_t>(m_rate / pieces_per_second, 1);
+    for (std::size_t begin = 0; begin < bytes.size(); begin += piece_size) {
+        pass_piece(through, way, bytes.substr(begin, piece_size));
+    }
+}
+
+void soak_link::pass_piece(const std::shared_ptr<pair>& through, direction way, std::string bytes)
+{
     const auto delay = delay_for(way, bytes.size());
     const auto send = [through, way, bytes = std::move(bytes)] {
-        const bool is_forward = way == direction::forward;
-        auto& target = *(is_forward ? through->far : through->near);
+        auto& target = through->target(way);
         target.send(bytes);
         // A link holds little, so that a reader which is slow slows its writer down.
-        (is_forward ? through->near : through->far)->pause(target.unsent() > max_held_bytes);
+        const bool is_full = target.unsent() > max_held_bytes || through->delayed(way) > 0;
+        through->source(way).pause(is_full);
     };
     if (delay.count() == 0) {
         send();
         return;
     }
-    const bool is_limited = m_rate > 0;
-    if (is_limited) {
-        // The source is read again when these bytes have passed, so the link holds few bytes.
-        (way == direction::forward ? through->near : through->far)->pause(true);
+    if (m_rate == 0) {
+        m_loop.after(delay, send);
+        return;
     }
-    m_loop.after(delay, send);
+    ++through->delayed(way);
+    through->source(way).pause(true);
+    m_loop.after(delay, [through, way, send] {
+        --through->delayed(way);
+        send();
+    });
 }
 
 // Returns the time until bytes that have arrived now are passed on.
--- a/src/tests/soak/soak_link.h
+++ b/src/tests/soak/soak_link.h
@@ -65,6 +65,7 @@
     void accept();
     void connect(const std::shared_ptr<pair>& made);
     void pass(const std::shared_ptr<pair>& through, direction way, std::string bytes);
+    void pass_piece(const std::shared_ptr<pair>& through, direction way, std::string bytes);
     void close(const std::shared_ptr<pair>& through);
 
     event_loop& m_loop;
