--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -9,7 +9,7 @@
 
 namespace galenaroad {
 
-/// The routing plan as the operators wrote it. Peers relay the text unchanged.
+/// The routing plan as the operators wrote it.
 struct plan_document {
     std::uint64_t version = 0;
     std::string text;
--- a/src/tests/metadata_store_test.cpp
+++ b/src/tests/metadata_store_test.cpp
@@ -192,6 +192,19 @@
     CHECK(linked.losses == 0);
 }
 
+TEST_CASE("metadata_store: a plan that memory cannot hold is not read", "[platform]")
+{
+    // Guards against readers that exceed the memory of their instance, one after another, while
+    // they decode a plan that is too large.
+    constexpr int routes = 40'000;
+    linked_store linked;
+    linked.watch_plan();
+    linked.rows.write(wire::operator_table, wire::plan_key, large_plan_text(2, routes));
+    linked.run_for(3s);
+    CHECK(linked.version == 1);
+    CHECK(linked.losses > 0);
+}
+
 TEST_CASE("metadata_store: a response that trickles is given up", "[platform]")
 {
     // Guards against a reader that counts as current while the store sends it a few bytes a second.
