--- a/src/experiment/entry_capacity.cpp
+++ b/src/experiment/entry_capacity.cpp
@@ -1,13 +1,12 @@
 #include "admission/slot_queue.h"
 #include "base/process_clock.h"
+#include "experiment/capacity_measures.h"
 #include "routing/routing_snapshot_builder.h"
 #include "routing/upstream_selector.h"
 
 #include <cxxopts.hpp>
 #include <fstream>
-#include <functional>
 #include <iostream>
-#include <malloc.h>
 
 using namespace galenaroad;
 
@@ -32,19 +31,6 @@
     double operation_ns = 0;
 };
 
-std::size_t heap_in_use()
-{
-    return mallinfo2().uordblks + mallinfo2().hblkhd;
-}
-
-double milliseconds_of(const std::function<void()>& work)
-{
-    const process_clock clock;
-    const auto start = clock.steady_now();
-    work();
-    return std::chrono::duration<double, std::milli>(clock.steady_now() - start).count();
-}
-
 service_id service_at(int index)
 {
     return {"business-" + std::to_string(index / services_per_business),
--- a/src/experiment/plan_capacity.cpp
+++ b/src/experiment/plan_capacity.cpp
@@ -1,12 +1,10 @@
-#include "base/process_clock.h"
+#include "experiment/capacity_measures.h"
 #include "fleet/plan_replica.h"
 #include "relay/plan_change_source.h"
 
 #include <cxxopts.hpp>
 #include <fstream>
-#include <functional>
 #include <iostream>
-#include <malloc.h>
 
 using namespace galenaroad;
 
@@ -30,19 +28,6 @@
     double match_ns = 0;          ///< Of one request.
 };
 
-std::size_t heap_in_use()
-{
-    return mallinfo2().uordblks + mallinfo2().hblkhd;
-}
-
-double milliseconds_of(const std::function<void()>& work)
-{
-    const process_clock clock;
-    const auto start = clock.steady_now();
-    work();
-    return std::chrono::duration<double, std::milli>(clock.steady_now() - start).count();
-}
-
 // Names that differ as random ones do, since similar names would compress better.
 std::string name_of(int index)
 {
