--- /dev/null
+++ b/src/relay/plan_updater.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "fleet/fleet_store.h"
+#include "relay/relay_context.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <tl/expected.hpp>
+
+namespace galenaroad {
+
+/// Puts newer plans in force, from the store's documents and from the changes of peers, and logs
+/// where they came from.
+class plan_updater {
+public:
+    /// Decodes a plan document; the error describes what is wrong.
+    using document_decoder =
+        std::function<tl::expected<routing_plan, std::string>(const plan_document&)>;
+
+    /// @param replaced_version version of the plan before; 0 when there was none.
+    /// @param peer address of the peer that sent the plan; empty when it came from the store.
+    using replaced_hook =
+        std::function<void(std::uint64_t replaced_version, const std::string& peer)>;
+
+    /// @param context shared state; must outlive the updater.
+    /// @param decode decodes the documents of the store.
+    /// @param on_replaced called when another plan is in force.
+    plan_updater(relay_context& context, document_decoder decode, replaced_hook on_replaced);
+
+    /// Puts a document of the store in force, if it is newer and can be decoded.
+    /// @param document the document.
+    void apply_document(const plan_document& document);
+
+    /// Puts the plan that results from a change in force.
+    /// @param change the change.
+    /// @param peer address of the peer that sent it.
+    /// @return false when the change does not fit the plan in force; see plan_replica::apply().
+    bool apply_change(const plan_change& change, const std::string& peer);
+
+private:
+    void record_errors(const routing_plan& plan);
+    void on_replaced(std::uint64_t replaced_version, const std::string& peer);
+
+    relay_context& m_context;
+    document_decoder m_decode;
+    replaced_hook m_on_replaced;
+};
+
+} // namespace galenaroad
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -4,7 +4,6 @@
 #include "relay/owner_response_builder.h"
 #include "relay/peer_state.h"
 #include "relay/response_query_handler.h"
-#include "telemetry/duration_text.h"
 
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
@@ -16,8 +15,6 @@
 
 using namespace std::chrono_literals;
 
-// Name of the store as the source of a plan in logs.
-constexpr const char* store_source = "store";
 // Clocks of instances differ by seconds, and jump by seconds, which is far below this bound.
 constexpr auto max_clock_skew = std::chrono::hours(24);
 // Clients learn of the shutdown from the readiness check, which runs once a second and has to fail
@@ -38,8 +35,6 @@
 constexpr auto max_record_delay = 3s;
 // Revision of a record that will be made once the state of an earlier start is known.
 constexpr auto unknown_revision = std::numeric_limits<std::uint64_t>::max();
-// Errors of one plan that are logged individually.
-constexpr std::size_t max_logged_plan_errors = 20;
 
 bool has_same_content(const owner_record& a, const owner_record& b)
 {
@@ -122,6 +117,10 @@
           },
           [this](const auto& address, const auto& health) { on_health_reported(address, health); },
           [this] { run_waiting(); }},
+      m_plan_updater(m_context, m_dependencies.decode_plan,
+                     [this](std::uint64_t replaced_version, const std::string& peer) {
+                         on_plan_replaced(replaced_version, peer);
+                     }),
       m_sync(m_context, make_sync_hooks(), random_engine(random()), m_settings.link_rate),
       m_health_reports(m_context, random_engine(random())),
       m_entry_server(m_dependencies.loop, limits_for({}, m_settings),
@@ -136,7 +135,7 @@
 {
     peer_sync::hooks hooks;
     hooks.change = [this](const auto& change, const auto& peer) {
-        return apply_change(change, peer);
+        return m_plan_updater.apply_change(change, peer);
     };
     hooks.owners = [this](const auto& records) { merge_owners(records); };
     hooks.owners_complete = [this] {
@@ -179,7 +178,7 @@
 void relay_node::watch_store()
 {
     fleet_store::hooks hooks;
-    hooks.plan = [this](const plan_document& document) { apply_document(document); };
+    hooks.plan = [this](const plan_document& document) { m_plan_updater.apply_document(document); };
     hooks.owners = [this](const auto& records) { merge_owners(records); };
     hooks.owner_removed = [this](const std::string& address) {
         if (address != m_settings.location.address) {
@@ -237,75 +236,13 @@
     return m_context.plan_version() > 0 && m_owners_listed && !m_is_stopping;
 }
 
-void relay_node::apply_document(const plan_document& document)
+void relay_node::on_plan_replaced(std::uint64_t replaced_version, const std::string& peer)
 {
-    const auto replaced = m_context.plan_version();
-    const bool is_known = document.version <= std::max(replaced, m_context.unreadable_plan_version);
-    m_metrics.record_plan_document(is_known ? "known" : "used", document.text.size());
-    if (is_known) {
-        return;
-    }
-    const auto started_at = m_context.now();
-    const auto decoded = m_dependencies.decode_plan(document);
-    if (!decoded) {
-        m_context.unreadable_plan_version = document.version;
-        m_metrics.record_unreadable_plan();
-        m_dependencies.log.note_state(
-            "plan_unreadable",
-            {{"version", std::to_string(document.version)}, {"error", decoded.error()}});
-        return;
-    }
-    record_plan_errors(*decoded);
-    m_context.plans.replace(*decoded);
-    m_dependencies.log.note_state("plan_read",
-                                  {{"version", std::to_string(document.version)},
-                                   {"bytes", std::to_string(document.text.size())},
-                                   {"decode_ms", ms_text(m_context.now() - started_at)}});
-    on_plan_replaced(replaced, "");
-}
-
-bool relay_node::apply_change(const plan_change& change, const std::string& peer)
-{
-    const auto replaced = m_context.plan_version();
-    if (!m_context.plans.apply(change)) {
-        return false;
-    }
-    m_metrics.record_plan_errors(change.properties.error_count);
-    on_plan_replaced(replaced, peer);
-    return true;
-}
-
-// The source is the address of a peer, or empty when the plan came from the store.
-void relay_node::on_plan_replaced(std::uint64_t replaced_version, const std::string& source)
-{
-    const auto& plan = *m_context.plans.in_force();
-    const bool is_from_store = source.empty();
-    m_entry_server.set_limits(limits_for(plan.properties().limits, m_settings));
-    m_dependencies.log.note_state("plan_in_force",
-                                  {{"version", std::to_string(plan.version())},
-                                   {"replaces", std::to_string(replaced_version)},
-                                   {"from", is_from_store ? store_source : source},
-                                   {"routes", std::to_string(plan.route_count())}});
-    m_metrics.record_plan(plan.version(), is_from_store ? "store" : "peer");
+    const auto& limits = m_context.plans.in_force()->properties().limits;
+    m_entry_server.set_limits(limits_for(limits, m_settings));
     m_sync.on_state_change();
     if (replaced_version > 0) {
-        m_sync.on_newer_plan(source);
-    }
-}
-
-void relay_node::record_plan_errors(const routing_plan& plan)
-{
-    m_metrics.record_plan_errors(plan.errors.size());
-    const auto logged = std::min(plan.errors.size(), max_logged_plan_errors);
-    for (std::size_t each = 0; each < logged; ++each) {
-        m_dependencies.log.note_state("plan_fault", {{"version", std::to_string(plan.version)},
-                                                     {"part", plan.errors[each].part},
-                                                     {"error", plan.errors[each].message}});
-    }
-    if (logged < plan.errors.size()) {
-        m_dependencies.log.note_state("plan_faults_not_listed",
-                                      {{"version", std::to_string(plan.version)},
-                                       {"count", std::to_string(plan.errors.size() - logged)}});
+        m_sync.on_newer_plan(peer);
     }
 }
 
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -7,6 +7,7 @@
 #include "relay/health_report_exchange.h"
 #include "relay/owner_exchange.h"
 #include "relay/peer_sync.h"
+#include "relay/plan_updater.h"
 #include "relay/relay_context.h"
 
 #include <functional>
@@ -46,8 +47,7 @@
     fleet_store& store;
     decision_log& log;
     metrics_registry& metrics;
-    /// Decodes a plan document; the error describes what is wrong.
-    std::function<tl::expected<routing_plan, std::string>(const plan_document&)> decode_plan;
+    plan_updater::document_decoder decode_plan;
 };
 
 /// One daemon on the request path: entry for the clients of its instance, and owner of the
@@ -91,10 +91,7 @@
 
 private:
     void watch_store();
-    void apply_document(const plan_document& document);
-    bool apply_change(const plan_change& change, const std::string& peer);
-    void on_plan_replaced(std::uint64_t replaced_version, const std::string& source);
-    void record_plan_errors(const routing_plan& plan);
+    void on_plan_replaced(std::uint64_t replaced_version, const std::string& peer);
     void merge_owners(const std::vector<owner_record>& records);
     bool is_from_future(std::uint64_t time_ms) const;
     bool is_from_future(const owner_record& record) const;
@@ -126,6 +123,7 @@
     http_client m_peer_client;
     http_client m_upstream_client;
     relay_context m_context;
+    plan_updater m_plan_updater;
     peer_sync m_sync;
     health_report_exchange m_health_reports;
     http_server m_entry_server;
