Move decisions under load out of relay into a folder of their own

Cause: src/relay held 80 files, decisions beside sockets, and the next decisions (quotas, shares between client accounts) are to join them.

Change: failure_estimator, health_report_buffer, owned_upstream, owner_ranking, owner_retry_budget, owner_search, response_size_estimator, slot_admission, split_selector and stop_window go to src/load, the messages between entry and owner (relay_message_codec) to src/fleet. Only paths of includes change.

--- a/src/experiment/relay_replay.h
+++ b/src/experiment/relay_replay.h
@@ -7,9 +7,9 @@
 #include "experiment/replay_server.h"
 #include "experiment/simulated_loop.h"
 #include "fleet/owner_directory.h"
-#include "relay/owned_upstream.h"
-#include "relay/owner_ranking.h"
-#include "relay/owner_search.h"
+#include "load/owned_upstream.h"
+#include "load/owner_ranking.h"
+#include "load/owner_search.h"
 
 #include <map>
 #include <memory>
--- a/src/experiment/replay_server.h
+++ b/src/experiment/replay_server.h
@@ -2,7 +2,7 @@
 
 #include "base/random_engine.h"
 #include "experiment/replay_scenario.h"
-#include "relay/owned_upstream.h"
+#include "load/owned_upstream.h"
 
 #include <string>
 #include <vector>
--- a/src/relay/relay_message_codec.cpp
+++ b/src/fleet/relay_message_codec.cpp
@@ -1,4 +1,4 @@
-#include "relay/relay_message_codec.h"
+#include "fleet/relay_message_codec.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/src/relay/failure_estimator.cpp
+++ b/src/load/failure_estimator.cpp
@@ -1,4 +1,4 @@
-#include "relay/failure_estimator.h"
+#include "load/failure_estimator.h"
 
 #include <cmath>
 
--- a/src/relay/health_report_buffer.h
+++ b/src/load/health_report_buffer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
-#include "relay/owner_ranking.h"
+#include "load/owner_ranking.h"
 
 #include <map>
 #include <string>
--- a/src/relay/owned_upstream.cpp
+++ b/src/load/owned_upstream.cpp
@@ -1,4 +1,4 @@
-#include "relay/owned_upstream.h"
+#include "load/owned_upstream.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/relay/owned_upstream.h
+++ b/src/load/owned_upstream.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "fleet/relay_message_codec.h"
 #include "fleet/upstream_lifecycle.h"
-#include "relay/failure_estimator.h"
-#include "relay/owner_retry_budget.h"
-#include "relay/relay_message_codec.h"
-#include "relay/slot_admission.h"
+#include "load/failure_estimator.h"
+#include "load/owner_retry_budget.h"
+#include "load/slot_admission.h"
 
 #include <functional>
 #include <map>
--- a/src/relay/owner_ranking.cpp
+++ b/src/load/owner_ranking.cpp
@@ -1,4 +1,4 @@
-#include "relay/owner_ranking.h"
+#include "load/owner_ranking.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/relay/owner_retry_budget.cpp
+++ b/src/load/owner_retry_budget.cpp
@@ -1,4 +1,4 @@
-#include "relay/owner_retry_budget.h"
+#include "load/owner_retry_budget.h"
 
 #include <algorithm>
 
--- a/src/relay/owner_search.cpp
+++ b/src/load/owner_search.cpp
@@ -1,4 +1,4 @@
-#include "relay/owner_search.h"
+#include "load/owner_search.h"
 
 #include <algorithm>
 
--- a/src/relay/owner_search.h
+++ b/src/load/owner_search.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet/owner_directory.h"
-#include "relay/owner_ranking.h"
-#include "relay/relay_message_codec.h"
+#include "fleet/relay_message_codec.h"
+#include "load/owner_ranking.h"
 
 #include <set>
 #include <string>
--- a/src/relay/slot_admission.cpp
+++ b/src/load/slot_admission.cpp
@@ -1,4 +1,4 @@
-#include "relay/slot_admission.h"
+#include "load/slot_admission.h"
 
 #include <algorithm>
 
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "load/owner_search.h"
 #include "net/http_server.h"
 #include "relay/entry_route.h"
 #include "relay/owner_call.h"
-#include "relay/owner_search.h"
 #include "relay/relay_context.h"
 #include "relay/response_stream.h"
 
--- a/src/relay/health_report_codec.h
+++ b/src/relay/health_report_codec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "relay/health_report_buffer.h"
+#include "load/health_report_buffer.h"
 
 #include <optional>
 #include <string>
--- a/src/relay/health_report_exchange.h
+++ b/src/relay/health_report_exchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/random_engine.h"
-#include "relay/health_report_buffer.h"
+#include "load/health_report_buffer.h"
 #include "relay/relay_context.h"
 
 #include <Poco/Net/DatagramSocket.h>
--- a/src/relay/owner_call.h
+++ b/src/relay/owner_call.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "fleet/relay_message_codec.h"
 #include "net/http_client.h"
 #include "relay/buffered_body.h"
 #include "relay/relay_context.h"
-#include "relay/relay_message_codec.h"
 
 #include <functional>
 #include <memory>
--- a/src/relay/owner_response_builder.h
+++ b/src/relay/owner_response_builder.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "fleet/relay_message_codec.h"
 #include "net/http_head.h"
 #include "relay/relay_context.h"
-#include "relay/relay_message_codec.h"
 
 namespace galenaroad {
 
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -2,17 +2,17 @@
 
 #include "fleet/owner_directory.h"
 #include "fleet/plan_replica.h"
+#include "load/owned_upstream.h"
+#include "load/owner_ranking.h"
+#include "load/response_size_estimator.h"
+#include "load/split_selector.h"
+#include "load/stop_window.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "relay/buffer_budget.h"
 #include "relay/header_names.h"
-#include "relay/owned_upstream.h"
-#include "relay/owner_ranking.h"
 #include "relay/relay_metrics.h"
-#include "relay/response_size_estimator.h"
 #include "relay/response_store.h"
-#include "relay/split_selector.h"
-#include "relay/stop_window.h"
 #include "telemetry/decision_log.h"
 
 #include <functional>
--- a/src/relay/response_store.h
+++ b/src/relay/response_store.h
@@ -2,9 +2,9 @@
 
 #include "base/clock.h"
 #include "base/random_engine.h"
+#include "fleet/relay_message_codec.h"
 #include "net/http_head.h"
 #include "relay/attempt_registry.h"
-#include "relay/relay_message_codec.h"
 
 #include <cstddef>
 #include <functional>
--- a/src/tests/decoder_robustness_test.cpp
+++ b/src/tests/decoder_robustness_test.cpp
@@ -1,5 +1,6 @@
 #include "base/deflate_codec.h"
 #include "fleet/owner_record_codec.h"
+#include "fleet/relay_message_codec.h"
 #include "heartbeat_decoder.h"
 #include "net/http_body_decoder.h"
 #include "net/http_head.h"
@@ -8,7 +9,6 @@
 #include "plan_decoder.h"
 #include "relay/peer_state.h"
 #include "relay/plan_page.h"
-#include "relay/relay_message_codec.h"
 #include "store_rows.h"
 #include "support/message_mutator.h"
 
--- a/src/tests/entry_response_builder_test.cpp
+++ b/src/tests/entry_response_builder_test.cpp
@@ -1,6 +1,6 @@
 #include "relay/entry_response_builder.h"
 
-#include "relay/relay_message_codec.h"
+#include "fleet/relay_message_codec.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/tests/failure_estimator_test.cpp
+++ b/src/tests/failure_estimator_test.cpp
@@ -1,6 +1,6 @@
 #include "base/manual_clock.h"
-#include "relay/failure_estimator.h"
-#include "relay/owned_upstream.h"
+#include "load/failure_estimator.h"
+#include "load/owned_upstream.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/tests/health_report_buffer_test.cpp
+++ b/src/tests/health_report_buffer_test.cpp
@@ -1,4 +1,4 @@
-#include "relay/health_report_buffer.h"
+#include "load/health_report_buffer.h"
 
 #include "base/manual_clock.h"
 
--- a/src/tests/owned_upstream_test.cpp
+++ b/src/tests/owned_upstream_test.cpp
@@ -1,5 +1,5 @@
 #include "base/manual_clock.h"
-#include "relay/owned_upstream.h"
+#include "load/owned_upstream.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -1,5 +1,5 @@
 #include "base/manual_clock.h"
-#include "relay/owner_ranking.h"
+#include "load/owner_ranking.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/tests/response_size_estimator_test.cpp
+++ b/src/tests/response_size_estimator_test.cpp
@@ -1,4 +1,4 @@
-#include "relay/response_size_estimator.h"
+#include "load/response_size_estimator.h"
 
 #include <catch2/catch.hpp>
 
--- a/src/tests/slot_admission_test.cpp
+++ b/src/tests/slot_admission_test.cpp
@@ -1,5 +1,5 @@
 #include "base/manual_clock.h"
-#include "relay/slot_admission.h"
+#include "load/slot_admission.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
--- a/src/tests/split_selector_test.cpp
+++ b/src/tests/split_selector_test.cpp
@@ -1,4 +1,4 @@
-#include "relay/split_selector.h"
+#include "load/split_selector.h"
 
 #include <catch2/catch.hpp>
 #include <map>
--- a/src/tests/stop_window_test.cpp
+++ b/src/tests/stop_window_test.cpp
@@ -1,4 +1,4 @@
-#include "relay/stop_window.h"
+#include "load/stop_window.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
