Add client accounts to the model of a plan and to the metadata of attempts

The parts that decode, exchange, check and use accounts need one model.

Change: client_account with digests of its keys, fields of routing_plan and route_rule, and the account in attempt_metadata, as the last element of the message so that daemons without it can be read. Nothing uses them yet.

--- a/src/fleet/relay_message_codec.cpp
+++ b/src/fleet/relay_message_codec.cpp
@@ -80,6 +80,9 @@
 
     bool next_flag() { return next<int>() != 0; }
 
+    /// @return false at the end, as in messages of daemons that do not know the latest fields.
+    bool has_next() const { return m_position < m_array.size(); }
+
     template <typename Enum>
     Enum next_enum(Enum last)
     {
@@ -112,6 +115,9 @@
     metadata.retry_is_granted = reader.next_flag();
     metadata.priority = reader.next<int>();
     metadata.plan_version = reader.next<std::uint64_t>();
+    if (reader.has_next()) {
+        metadata.account = reader.next<std::string>();
+    }
     return metadata;
 }
 
@@ -186,6 +192,7 @@
         .add(metadata.retry_is_granted)
         .add(metadata.priority)
         .add(metadata.plan_version)
+        .add(metadata.account)
         .text();
 }
 
--- a/src/fleet/relay_message_codec.h
+++ b/src/fleet/relay_message_codec.h
@@ -18,6 +18,7 @@
     std::string service;
     std::string route; ///< Requests of one route are expected to take about the same time.
     std::string caller_service;
+    std::string account;       ///< Name of the client account; empty without one.
     std::string entry_address; ///< Address at which peers reach the sender.
     std::chrono::milliseconds remaining{0};
     /// Time left to meet the latency objective; limits the wait for a slot.
--- a/src/fleet/routing_plan.h
+++ b/src/fleet/routing_plan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/client_account.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -37,8 +39,9 @@
     request_kind kind = request_kind::at_most_once;
     std::chrono::milliseconds timeout{30000};
     std::chrono::milliseconds latency_objective{1000};
-    int max_attempts = 1; ///< Number of upstreams to which one request may be sent.
-    int priority = 0;     ///< 0 is the highest priority.
+    int max_attempts = 1;   ///< Number of upstreams to which one request may be sent.
+    int priority = 0;       ///< 0 is the highest priority.
+    bool is_public = false; ///< Clients need no key, also when the plan has accounts.
     /// Empty when the service is not known: the route still covers its prefix, and its requests are
     /// refused.
     std::vector<weighted_service> targets;
@@ -70,9 +73,12 @@
     std::vector<route_rule> routes;
     std::map<std::string, service_rule> services;
     client_limits limits;
+    std::vector<client_account> accounts;
     std::vector<plan_error> errors;
     bool has_all_routes = true;   ///< False when a route has no valid host or prefix.
     bool has_all_services = true; ///< False when the declared services could not be read.
+    bool has_accounts = false;    ///< Clients identify themselves by the key of an account.
+    bool has_all_accounts = true; ///< False when an account or one of its keys is not valid.
 };
 
 } // namespace galenaroad
