Hold client accounts in the plan

Identity at the entry and quotas need the accounts of the plan in force at every daemon, and a change of one key has to cost that account, not the plan.

Change: plan_index finds accounts by name and by the digest of a key; changes, the log of a replica, pages and checksums carry accounts and public routes as they carry routes. A key that several accounts declare identifies none of them, whatever the order in which they came. Lookups return shared pointers, so that accounts need not be held in the form in which they are returned.

--- a/src/fleet/plan_change.h
+++ b/src/fleet/plan_change.h
@@ -10,12 +10,14 @@
 
 namespace galenaroad {
 
-/// The parts of a plan that are neither routes nor services.
+/// The parts of a plan that have no name.
 struct plan_properties {
     client_limits limits;
     std::size_t error_count = 0;  ///< Parts of the operators' configuration that are invalid.
     bool has_all_routes = true;   ///< See routing_plan.
     bool has_all_services = true; ///< See routing_plan.
+    bool has_accounts = false;    ///< See routing_plan.
+    bool has_all_accounts = true; ///< See routing_plan.
 };
 
 /// What differs between two versions of a plan.
@@ -28,11 +30,13 @@
     std::vector<std::string> removed_routes;
     std::map<std::string, service_rule> services; ///< Added or changed.
     std::vector<std::string> removed_services;
+    std::vector<client_account> accounts; ///< Added or changed.
+    std::vector<std::string> removed_accounts;
 };
 
-/// Name of a route or service of a plan.
+/// Name of a route, service or client account of a plan.
 struct plan_part {
-    enum class kind { service, route };
+    enum class kind { service, route, account };
 
     kind type = kind::route;
     std::string name;
--- a/src/fleet/plan_digest.cpp
+++ b/src/fleet/plan_digest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/plan_digest.h"
 
 #include <cstring>
+#include <string_view>
 #include <xxhash.h>
 
 namespace galenaroad {
@@ -19,7 +20,7 @@
         return *this;
     }
 
-    field_collector& add(const std::string& text)
+    field_collector& add(std::string_view text)
     {
         add(std::uint64_t{text.size()});
         m_bytes += text;
@@ -56,6 +57,9 @@
     for (const auto& target : rule.targets) {
         fields.add(target.service).add_number(target.weight);
     }
+    if (rule.is_public) {
+        fields.add(std::uint64_t{rule.is_public});
+    }
     return fields.digest();
 }
 
@@ -68,17 +72,34 @@
         .digest();
 }
 
+std::uint64_t plan_digest::of(const client_account& account)
+{
+    field_collector fields;
+    fields.add(account.name);
+    fields.add(std::uint64_t{account.priority.has_value()});
+    fields.add(static_cast<std::uint64_t>(account.priority.value_or(0)));
+    fields.add_number(account.quota.rate).add_number(account.quota.burst);
+    for (const auto& key : account.keys) {
+        fields.add(key.bytes());
+    }
+    return fields.digest();
+}
+
 std::uint64_t plan_digest::of(const plan_properties& properties)
 {
-    return field_collector()
-        .add(std::uint64_t{properties.limits.max_head_bytes})
+    field_collector fields;
+    fields.add(std::uint64_t{properties.limits.max_head_bytes})
         .add(properties.limits.max_body_bytes)
         .add(properties.limits.head_timeout)
         .add(properties.limits.idle_timeout)
         .add(std::uint64_t{properties.error_count})
         .add(std::uint64_t{properties.has_all_routes})
-        .add(std::uint64_t{properties.has_all_services})
-        .digest();
+        .add(std::uint64_t{properties.has_all_services});
+    if (properties.has_accounts || !properties.has_all_accounts) {
+        fields.add(std::uint64_t{properties.has_accounts})
+            .add(std::uint64_t{properties.has_all_accounts});
+    }
+    return fields.digest();
 }
 
 } // namespace galenaroad
--- a/src/fleet/plan_index.cpp
+++ b/src/fleet/plan_index.cpp
@@ -14,6 +14,18 @@
     return Poco::toLower(std::string(host.substr(0, host.find(':'))));
 }
 
+plan_properties properties_of(const routing_plan& plan)
+{
+    plan_properties properties;
+    properties.limits = plan.limits;
+    properties.error_count = plan.errors.size();
+    properties.has_all_routes = plan.has_all_routes;
+    properties.has_all_services = plan.has_all_services;
+    properties.has_accounts = plan.has_accounts;
+    properties.has_all_accounts = plan.has_all_accounts;
+    return properties;
+}
+
 bool is_equal(const service_rule& a, const service_rule& b)
 {
     return a.health_path == b.health_path && a.max_connections == b.max_connections;
@@ -22,12 +34,14 @@
 } // namespace
 
 plan_index::plan_index(const routing_plan& plan)
-    : m_version(plan.version),
-      m_properties{plan.limits, plan.errors.size(), plan.has_all_routes, plan.has_all_services}
+    : m_version(plan.version), m_properties(properties_of(plan))
 {
     for (const auto& rule : plan.routes) {
         add(rule);
     }
+    for (const auto& account : plan.accounts) {
+        m_accounts.set(account);
+    }
     set_services(plan.services);
 }
 
@@ -42,6 +56,12 @@
     for (const auto& rule : change.routes) {
         next.add(rule);
     }
+    for (const auto& name : change.removed_accounts) {
+        next.m_accounts.erase(name);
+    }
+    for (const auto& account : change.accounts) {
+        next.m_accounts.set(account);
+    }
     if (!change.services.empty() || !change.removed_services.empty()) {
         auto services = *next.m_services;
         for (const auto& name : change.removed_services) {
@@ -117,7 +137,8 @@
 
 std::uint64_t plan_index::digest() const
 {
-    return m_routes_digest + m_services_digest + plan_digest::of(m_properties);
+    return m_routes_digest + m_services_digest + m_accounts.digest() +
+           plan_digest::of(m_properties);
 }
 
 const route_rule* plan_index::route(std::string_view name) const
@@ -137,8 +158,7 @@
     plan_change change;
     change.base_version = m_version;
     change.version = next.version;
-    change.properties = {next.limits, next.errors.size(), next.has_all_routes,
-                         next.has_all_services};
+    change.properties = properties_of(next);
     for (const auto& rule : next.routes) {
         const auto* const held = m_routes.find(rule.name);
         if (held == nullptr || held->digest != plan_digest::of(rule)) {
@@ -157,9 +177,27 @@
             change.removed_services.push_back(name);
         }
     }
+    add_changed_accounts(next.accounts, change);
     return change;
 }
 
+void plan_index::add_changed_accounts(const std::vector<client_account>& next,
+                                      plan_change& change) const
+{
+    std::unordered_set<std::string_view> names;
+    for (const auto& account : next) {
+        names.insert(account.name);
+        if (m_accounts.digest_of(account.name) != plan_digest::of(account)) {
+            change.accounts.push_back(account);
+        }
+    }
+    m_accounts.for_each([&](const client_account& each) {
+        if (names.count(each.name) == 0) {
+            change.removed_accounts.push_back(each.name);
+        }
+    });
+}
+
 void plan_index::add_removed_routes(const std::vector<route_rule>& kept, plan_change& change) const
 {
     std::unordered_set<std::string_view> names;
--- a/src/fleet/plan_index.h
+++ b/src/fleet/plan_index.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/account_index.h"
 #include "fleet/persistent_map.h"
 #include "fleet/plan_change.h"
 #include "fleet/routing_plan.h"
@@ -41,6 +42,21 @@
     /// @return what the operators declare of it, or null.
     const service_rule* service(const std::string& name) const;
 
+    /// @param name name of the client account.
+    /// @return the account, or null.
+    std::shared_ptr<const client_account> account(std::string_view name) const
+    {
+        return m_accounts.find(name);
+    }
+
+    /// @param key digest of a key.
+    /// @return the client account that the key identifies, or null; null also when several accounts
+    /// declare the key.
+    std::shared_ptr<const client_account> account_with_key(const api_key_digest& key) const
+    {
+        return m_accounts.find_by_key(key);
+    }
+
     std::uint64_t version() const { return m_version; }
 
     /// @return a checksum of the contents, whatever the versions by which they came about.
@@ -48,6 +64,7 @@
 
     const plan_properties& properties() const { return m_properties; }
     std::size_t route_count() const { return m_routes.size(); }
+    std::size_t account_count() const { return m_accounts.size(); }
 
     /// @param next another plan.
     /// @return the change that makes it from this plan. Its digest is not set.
@@ -60,6 +77,13 @@
         m_routes.for_each([&](const indexed_route& each) { function(each.rule); });
     }
 
+    /// Calls a function with each client account, in no particular order.
+    template <typename Function>
+    void for_each_account(Function function) const
+    {
+        m_accounts.for_each(function);
+    }
+
     const std::map<std::string, service_rule>& services() const { return *m_services; }
 
 private:
@@ -72,6 +96,7 @@
         std::uint64_t digest = 0;
     };
 
+    void add_changed_accounts(const std::vector<client_account>& next, plan_change& change) const;
     void add_removed_routes(const std::vector<route_rule>& kept, plan_change& change) const;
     void add(const route_rule& rule);
     void remove(const std::string& name);
@@ -84,6 +109,7 @@
     /// By address. Of several routes with one address, the one with the greatest name.
     persistent_map<indexed_route> m_addresses;
     std::shared_ptr<const service_map> m_services = std::make_shared<service_map>();
+    account_index m_accounts;
     std::uint64_t m_routes_digest = 0;
     std::uint64_t m_services_digest = 0;
 };
--- a/src/fleet/plan_replica.cpp
+++ b/src/fleet/plan_replica.cpp
@@ -63,6 +63,12 @@
     for (const auto& name : change.removed_services) {
         note(plan_part::kind::service, name);
     }
+    for (const auto& account : change.accounts) {
+        note(plan_part::kind::account, account.name);
+    }
+    for (const auto& name : change.removed_accounts) {
+        note(plan_part::kind::account, name);
+    }
     trim_log();
 }
 
--- a/src/relay/plan_change_source.cpp
+++ b/src/relay/plan_change_source.cpp
@@ -8,17 +8,42 @@
 
 constexpr char route_prefix = 'r';
 constexpr char service_prefix = 's';
+constexpr char account_prefix = 'a';
+
+char prefix_of(plan_part::kind type)
+{
+    switch (type) {
+    case plan_part::kind::service:
+        return service_prefix;
+    case plan_part::kind::account:
+        return account_prefix;
+    case plan_part::kind::route:
+        break;
+    }
+    return route_prefix;
+}
+
+plan_part::kind kind_from(char prefix)
+{
+    if (prefix == service_prefix) {
+        return plan_part::kind::service;
+    }
+    return prefix == account_prefix ? plan_part::kind::account : plan_part::kind::route;
+}
 
 std::vector<plan_part> all_parts(const plan_index& plan)
 {
     std::vector<plan_part> parts;
-    parts.reserve(plan.route_count() + plan.services().size());
+    parts.reserve(plan.route_count() + plan.services().size() + plan.account_count());
     for (const auto& [name, rule] : plan.services()) {
         parts.push_back({plan_part::kind::service, name});
     }
     plan.for_each_route([&](const route_rule& rule) {
         parts.push_back({plan_part::kind::route, rule.name});
     });
+    plan.for_each_account([&](const client_account& account) {
+        parts.push_back({plan_part::kind::account, account.name});
+    });
     std::sort(parts.begin(), parts.end());
     return parts;
 }
@@ -39,7 +64,7 @@
 
 std::string plan_change_source::position_of(const plan_part& part)
 {
-    return (part.type == plan_part::kind::route ? route_prefix : service_prefix) + part.name;
+    return prefix_of(part.type) + part.name;
 }
 
 // Names instead of numbers: a peer continues at the same name when it gets the next page from a
@@ -49,9 +74,7 @@
     if (position.empty()) {
         return 0;
     }
-    const auto type =
-        position.front() == service_prefix ? plan_part::kind::service : plan_part::kind::route;
-    const plan_part part{type, position.substr(1)};
+    const plan_part part{kind_from(position.front()), position.substr(1)};
     const auto found = std::lower_bound(m_parts.begin(), m_parts.end(), part);
     return static_cast<std::size_t>(found - m_parts.begin());
 }
@@ -100,6 +123,15 @@
         }
         return;
     }
+    if (part.type == plan_part::kind::account) {
+        if (const auto account = m_plan->account(part.name)) {
+            change.accounts.push_back(*account);
+        }
+        else {
+            change.removed_accounts.push_back(part.name);
+        }
+        return;
+    }
     if (const auto* const rule = m_plan->route(part.name)) {
         change.routes.push_back(*rule);
     }
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -316,6 +316,9 @@
     m_change.services.merge(part.services);
     std::move(part.removed_services.begin(), part.removed_services.end(),
               std::back_inserter(m_change.removed_services));
+    std::move(part.accounts.begin(), part.accounts.end(), std::back_inserter(m_change.accounts));
+    std::move(part.removed_accounts.begin(), part.removed_accounts.end(),
+              std::back_inserter(m_change.removed_accounts));
 }
 
 void plan_fetcher::finish_change(const std::string& peer)
@@ -326,6 +329,7 @@
                                               {"peer", peer},
                                               {"pages", std::to_string(m_pages)},
                                               {"routes", std::to_string(change.routes.size())},
+                                              {"accounts", std::to_string(change.accounts.size())},
                                               {"after_ms", ms_text(m_context.now() - m_began_at)}});
     reset_change();
     const bool is_applied = m_hooks.change(change, peer);
--- a/src/relay/plan_page.cpp
+++ b/src/relay/plan_page.cpp
@@ -37,21 +37,29 @@
 
     const json& next_value() { return m_array.at(m_position++); }
 
+    bool has_next() const { return m_position < m_array.size(); }
+
 private:
     const json& m_array;
     std::size_t m_position = 0;
 };
 
-// Arrays without field names: the names would be the greater part of a page.
+// Arrays without field names: the names would be the greater part of a page. Fields that belong to
+// accounts are the last ones and are left out when they are not used, so that daemons which know no
+// accounts exchange plans without them.
 json encode_route(const route_rule& rule)
 {
     auto targets = json::array();
     for (const auto& target : rule.targets) {
         targets.push_back(json::array({target.service, target.weight}));
     }
-    return json::array({rule.name, rule.host, rule.prefix, static_cast<int>(rule.kind),
-                        rule.timeout.count(), rule.latency_objective.count(), rule.max_attempts,
-                        rule.priority, targets});
+    auto value = json::array({rule.name, rule.host, rule.prefix, static_cast<int>(rule.kind),
+                              rule.timeout.count(), rule.latency_objective.count(),
+                              rule.max_attempts, rule.priority, targets});
+    if (rule.is_public) {
+        value.push_back(rule.is_public);
+    }
+    return value;
 }
 
 request_kind kind_from(int value)
@@ -81,15 +89,22 @@
         decoded.weight = parts.next<double>();
         rule.targets.push_back(std::move(decoded));
     }
+    rule.is_public = reader.has_next() && reader.next<bool>();
     return rule;
 }
 
 json encode_properties(const plan_properties& properties)
 {
     const auto& limits = properties.limits;
-    return json::array({limits.max_head_bytes, limits.max_body_bytes, limits.head_timeout.count(),
-                        limits.idle_timeout.count(), properties.error_count,
-                        properties.has_all_routes, properties.has_all_services});
+    auto value =
+        json::array({limits.max_head_bytes, limits.max_body_bytes, limits.head_timeout.count(),
+                     limits.idle_timeout.count(), properties.error_count, properties.has_all_routes,
+                     properties.has_all_services});
+    if (properties.has_accounts || !properties.has_all_accounts) {
+        value.push_back(properties.has_accounts);
+        value.push_back(properties.has_all_accounts);
+    }
+    return value;
 }
 
 plan_properties decode_properties(const json& value)
@@ -103,9 +118,46 @@
     properties.error_count = reader.next<std::size_t>();
     properties.has_all_routes = reader.next<bool>();
     properties.has_all_services = reader.next<bool>();
+    if (reader.has_next()) {
+        properties.has_accounts = reader.next<bool>();
+        properties.has_all_accounts = reader.next<bool>();
+    }
     return properties;
 }
 
+json encode_account(const client_account& account)
+{
+    auto keys = json::array();
+    for (const auto& key : account.keys) {
+        keys.push_back(key.hex());
+    }
+    auto value = json::array({account.name, account.quota.rate, account.quota.burst, keys});
+    if (account.priority) {
+        value.push_back(*account.priority);
+    }
+    return value;
+}
+
+client_account decode_account(const json& value)
+{
+    array_reader reader(value);
+    client_account account;
+    account.name = reader.next<std::string>();
+    account.quota.rate = reader.next<double>();
+    account.quota.burst = reader.next<double>();
+    for (const auto& text : reader.next_value()) {
+        const auto key = api_key_digest::from_hex(text.get<std::string>());
+        if (!key) {
+            throw std::out_of_range("key");
+        }
+        account.keys.push_back(*key);
+    }
+    if (reader.has_next()) {
+        account.priority = reader.next<int>();
+    }
+    return account;
+}
+
 json encode_services(const std::map<std::string, service_rule>& services)
 {
     auto values = json::array();
@@ -142,6 +194,14 @@
     part.removed_routes = value.at("removed_routes").get<std::vector<std::string>>();
     part.services = decode_services(value.at("services"));
     part.removed_services = value.at("removed_services").get<std::vector<std::string>>();
+    if (const auto accounts = value.find("accounts"); accounts != value.end()) {
+        for (const auto& account : *accounts) {
+            part.accounts.push_back(decode_account(account));
+        }
+    }
+    if (const auto removed = value.find("removed_accounts"); removed != value.end()) {
+        part.removed_accounts = removed->get<std::vector<std::string>>();
+    }
     page.position = value.at("position").get<std::string>();
     page.next_position = value.at("next").get<std::string>();
     return page;
@@ -197,16 +257,22 @@
     for (const auto& rule : part.routes) {
         routes.push_back(encode_route(rule));
     }
-    const json value{{"base", part.base_version},
-                     {"version", part.version},
-                     {"digest", part.digest},
-                     {"properties", encode_properties(part.properties)},
-                     {"routes", std::move(routes)},
-                     {"removed_routes", part.removed_routes},
-                     {"services", encode_services(part.services)},
-                     {"removed_services", part.removed_services},
-                     {"position", page.position},
-                     {"next", page.next_position}};
+    json value{{"base", part.base_version},
+               {"version", part.version},
+               {"digest", part.digest},
+               {"properties", encode_properties(part.properties)},
+               {"routes", std::move(routes)},
+               {"removed_routes", part.removed_routes},
+               {"services", encode_services(part.services)},
+               {"removed_services", part.removed_services},
+               {"position", page.position},
+               {"next", page.next_position}};
+    for (const auto& account : part.accounts) {
+        value["accounts"].push_back(encode_account(account));
+    }
+    if (!part.removed_accounts.empty()) {
+        value["removed_accounts"] = part.removed_accounts;
+    }
     return deflate_codec::compress(value.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
--- a/src/relay/plan_page.h
+++ b/src/relay/plan_page.h
@@ -22,7 +22,7 @@
 /// One page of a change. The pages of a change have about the same size however large the plan is,
 /// so that one time limit fits all and none keeps a link busy for long.
 struct plan_page {
-    plan_change part;          ///< The change, with the routes and services of this page only.
+    plan_change part;          ///< The change, with the parts of this page only.
     std::string position;      ///< Where this page begins; empty for the first page.
     std::string next_position; ///< Where the next page begins; empty after the last page.
 };
