Identify the client account of a request at the entry

Nothing told who calls: keys reached the upstreams, clients chose the account field themselves, and unknown and removed keys worked.

Ruled out: telling calls of upstreams from requests of clients by their source address, a running request or a secret (docs/design/identity.md). Asking the store or a peer for an unknown key: invented keys would cause work elsewhere.

Change: request_authenticator (src/accounts) decides from the plan, the route and the header fields; entry_route passes a request through route, account and service in the order of their answers 404, 401, 503. While nothing vouches for the plan an unknown key gets 503 in place of 401. The entry removes the key and the client's own account field; upstream_request_builder sets the account on each request to an upstream. The account's priority precedes the route's. Failed requests with a key no longer excuse failures of the upstream. Entries on refused requests leave half of the log's burst to others.

--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -35,9 +35,8 @@
 
 void entry_exchange::start()
 {
-    const auto error = m_route.find(m_context, *m_client);
-    if (error) {
-        respond_with_error(status_of(*error), route_error_name(*error));
+    if (const auto error = m_route.find(m_context, *m_client)) {
+        respond_with_error(*error);
         return;
     }
     const auto body_bytes = static_cast<double>(m_client->body().size());
@@ -86,7 +85,7 @@
     owner_request request;
     request.owner = owner.address;
     request.metadata = metadata_for(owner);
-    request.head = m_client->head();
+    request.head = m_route.head_for_owners(m_context.names, m_client->head());
     request.body = m_client->body_bytes();
     m_current_attempt = make_call(std::move(request));
     m_current_attempt->send();
@@ -132,22 +131,15 @@
 
 attempt_metadata entry_exchange::metadata_for(const owner_record& owner) const
 {
-    attempt_metadata metadata;
+    auto metadata = m_route.metadata(m_context.now());
     metadata.attempt_id = m_context.new_attempt_id();
-    metadata.service = m_route.service();
-    metadata.route = rule().name;
     metadata.caller_service = m_context.own_service;
     metadata.entry_address = m_context.location.address;
     const bool is_far = owner.region != m_context.location.region;
     metadata.remaining = remaining() - (is_far ? far_owner_margin : owner_margin);
-    metadata.kind = rule().kind;
     metadata.attempt = m_attempts + 1;
     metadata.may_retry = m_attempts + 1 < rule().max_attempts;
     metadata.retry_is_granted = m_retry_is_granted;
-    metadata.priority = rule().priority;
-    metadata.plan_version = m_route.plan_version();
-    metadata.objective_remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-        m_route.objective_time() - m_context.now());
     metadata.may_wait = m_search.stage() == search_stage::waiting;
     return metadata;
 }
@@ -397,13 +389,13 @@
         return;
     }
     if (m_execution == execution::not_run) {
-        respond_with_error(HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "not_run");
+        respond_with_error({HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "not_run", {}});
         return;
     }
     const bool is_late = remaining() <= owner_margin;
-    respond_with_error(is_late ? HTTPResponse::HTTP_GATEWAY_TIMEOUT
-                               : HTTPResponse::HTTP_BAD_GATEWAY,
-                       is_late ? "deadline" : "outcome_unknown");
+    respond_with_error(is_late
+                           ? entry_error{HTTPResponse::HTTP_GATEWAY_TIMEOUT, "deadline", {}}
+                           : entry_error{HTTPResponse::HTTP_BAD_GATEWAY, "outcome_unknown", {}});
 }
 
 void entry_exchange::deliver()
@@ -412,7 +404,7 @@
     if (has_run && !is_idempotent(rule().kind) && implies_not_run(m_candidate.head.status)) {
         // Clients would take the status as proof that the request has not run.
         m_candidate.is_valid = false;
-        respond_with_error(HTTPResponse::HTTP_BAD_GATEWAY, "misleading_status");
+        respond_with_error({HTTPResponse::HTTP_BAD_GATEWAY, "misleading_status", {}});
         return;
     }
     const auto& body = m_candidate.body.text();
@@ -421,14 +413,13 @@
     record_and_end(m_candidate.head.status, "delivered");
 }
 
-void entry_exchange::respond_with_error(int status, std::string_view reason)
+void entry_exchange::respond_with_error(entry_error error)
 {
-    const bool is_not_run = status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
-    auto head = is_not_run
-                    ? entry_response_builder::not_run(m_context.names, m_request_id, retry_after())
-                    : entry_response_builder::generated(m_context.names, m_request_id, status);
-    m_client->respond(std::move(head), {});
-    record_and_end(status, reason);
+    if (error.status == HTTPResponse::HTTP_SERVICE_UNAVAILABLE && !error.retry_after) {
+        error.retry_after = retry_after();
+    }
+    m_client->respond(entry_response_builder::error(m_context.names, m_request_id, error), {});
+    record_and_end(error.status, error.reason);
 }
 
 // A request that is refused because of a stop would be refused again before the exit.
@@ -442,17 +433,17 @@
 void entry_exchange::record_and_end(int status, std::string_view reason)
 {
     const auto elapsed = m_context.now() - m_client->received_at();
-    if (is_from_own_instance() && (status == 0 || status >= HTTPResponse::HTTP_BAD_REQUEST)) {
+    const bool may_be_from_upstream =
+        m_client->client_host() == m_context.own_host() && m_route.may_be_from_upstream();
+    if (may_be_from_upstream && (status == 0 || status >= HTTPResponse::HTTP_BAD_REQUEST)) {
         m_context.local_failure_at = m_context.now();
     }
     m_context.metrics.record_response(m_route.service(), status, elapsed);
-    m_context.log.note(
-        "entry", m_request_id,
+    auto fields = m_route.fields();
+    fields.insert(
+        fields.end(),
         {{"status", std::to_string(status)},
          {"reason", std::string(reason)},
-         {"route", m_route.rule() == nullptr ? "" : rule().name},
-         {"service", m_route.service()},
-         {"plan", std::to_string(m_route.plan_version())},
          {"owner", m_current_attempt ? m_current_attempt->owner() : ""},
          {"attempts", std::to_string(m_attempts)},
          {"refusals", std::to_string(m_search.refusals())},
@@ -463,6 +454,12 @@
          {"trial", std::string(probe_decision_name(m_search.probe()))},
          {"known_owners", std::to_string(m_context.directory.ready_for(m_route.service()).size())},
          {"elapsed_ms", ms_text(elapsed)}});
+    if (m_current_attempt || status >= HTTPResponse::HTTP_INTERNAL_SERVER_ERROR) {
+        m_context.log.note("entry", m_request_id, std::move(fields));
+    }
+    else {
+        m_context.log.note_refusal("entry", m_request_id, std::move(fields));
+    }
     end();
 }
 
@@ -479,12 +476,6 @@
     m_on_end(*this);
 }
 
-bool entry_exchange::is_from_own_instance() const
-{
-    const auto& own = m_context.location.address;
-    return m_client->client_host() == own.substr(0, own.find(':'));
-}
-
 std::chrono::milliseconds entry_exchange::remaining() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_route.deadline() -
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -65,13 +65,12 @@
     void deliver();
     void give_up();
     void give_up_now();
-    void respond_with_error(int status, std::string_view reason);
+    void respond_with_error(entry_error error);
     std::chrono::milliseconds retry_after() const;
     void record_and_end(int status, std::string_view reason);
     void end();
     /// @return the rule of the request's route; valid once the route has been found.
     const route_rule& rule() const { return *m_route.rule(); }
-    bool is_from_own_instance() const;
     std::chrono::milliseconds remaining() const;
 
     relay_context& m_context;
--- a/src/relay/entry_response_builder.cpp
+++ b/src/relay/entry_response_builder.cpp
@@ -42,6 +42,19 @@
     return head;
 }
 
+http_response_head entry_response_builder::error(const header_names& names,
+                                                 const std::string& request_id,
+                                                 const entry_error& error)
+{
+    auto head = error.retry_after ? not_run(names, request_id, *error.retry_after)
+                                  : generated(names, request_id, error.status);
+    head.status = error.status;
+    if (error.status == Poco::Net::HTTPResponse::HTTP_UNAUTHORIZED) {
+        head.fields.push_back({"WWW-Authenticate", "Bearer"});
+    }
+    return head;
+}
+
 http_response_head entry_response_builder::not_run(const header_names& names,
                                                    const std::string& request_id,
                                                    std::chrono::milliseconds retry_after)
--- a/src/relay/entry_response_builder.h
+++ b/src/relay/entry_response_builder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_head.h"
+#include "relay/entry_error.h"
 #include "relay/header_names.h"
 
 #include <chrono>
@@ -23,6 +24,13 @@
     static http_response_head generated(const header_names& names, const std::string& request_id,
                                         int status);
 
+    /// @param names the header fields.
+    /// @param request_id the request's id, or empty.
+    /// @param error the error.
+    /// @return head of the response to a request that ended with an error of this daemon.
+    static http_response_head error(const header_names& names, const std::string& request_id,
+                                    const entry_error& error);
+
     /// As generated(), for a request that has not run and may be sent again.
     /// @param retry_after time after which the client may retry; raised to the shortest delay that
     /// makes a difference.
--- a/src/relay/header_names.h
+++ b/src/relay/header_names.h
@@ -14,6 +14,7 @@
     std::string upstream_load = "X-Upstream-Load";
     std::string not_run = "X-Not-Run";                ///< The upstream has not run the request.
     std::string caller_service = "X-Calling-Service"; ///< Service whose instance sent the request.
+    std::string account = "X-Client-Account";         ///< Name of the client account.
 };
 
 } // namespace galenaroad
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -4,6 +4,7 @@
 #include "relay/body_grace_period.h"
 #include "relay/owner_call.h"
 #include "relay/owner_response_builder.h"
+#include "relay/upstream_request_builder.h"
 #include "telemetry/duration_text.h"
 
 #include <Poco/Net/HTTPResponse.h>
@@ -20,7 +21,6 @@
 constexpr auto min_remaining = 20ms;
 // The upstream stops working at its deadline; its response then needs some time to arrive.
 constexpr auto response_grace = 400ms;
-constexpr auto upstream_connect_timeout = 300ms;
 // Time for which idle connections are reused. An at-most-once request cannot be resent if the
 // upstream closes the reused connection, so it uses only recently active ones.
 constexpr auto max_idle_idempotent = 4s;
@@ -215,7 +215,8 @@
     m_upstream_id = m_context.owned.lifecycle().latest().id;
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline - m_context.now());
-    auto request = request_for_upstream(remaining);
+    auto request = upstream_request_builder::build(m_context.names, *m_client, m_metadata,
+                                                   m_upstream_id, remaining);
     request.max_idle = max_idle;
     request.match_response = [id = m_request_id,
                               name = m_context.names.request_id](const auto& head) {
@@ -238,22 +239,6 @@
     m_call = m_context.upstreams.send(address, std::move(request), std::move(hooks));
 }
 
-client_request owner_exchange::request_for_upstream(std::chrono::milliseconds remaining) const
-{
-    client_request request;
-    request.head = m_client->head();
-    auto& fields = request.head.fields;
-    http_head::remove_connection_fields(fields);
-    http_head::remove(fields, attempt_metadata::header);
-    http_head::set(fields, m_context.names.remaining_ms, std::to_string(remaining.count()));
-    http_head::set(fields, m_context.names.expected_upstream, m_upstream_id);
-    http_head::set(fields, m_context.names.caller_service, m_metadata.caller_service);
-    request.head.framing = {};
-    request.body = m_client->body_bytes();
-    request.connect_timeout = upstream_connect_timeout;
-    return request;
-}
-
 void owner_exchange::on_head(const http_response_head& head)
 {
     m_response = upstream_response(head, m_context.names, m_context.now());
--- a/src/relay/owner_exchange.h
+++ b/src/relay/owner_exchange.h
@@ -50,7 +50,6 @@
     owner_reason check_sending() const;
     void send(std::chrono::milliseconds max_idle);
     bool try_resend();
-    client_request request_for_upstream(std::chrono::milliseconds remaining) const;
     void on_head(const http_response_head& head);
     http_response_head forwarded_head(const http_response_head& head);
     void on_body(std::string_view bytes);
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -168,7 +168,7 @@
 void peer_sync::probe_store_if_due()
 {
     const auto preceding = m_readers.preceding();
-    if (m_had_plan_source || m_role.is_reader() || preceding.lost_store == 0) {
+    if (m_context.has_plan_source || m_role.is_reader() || preceding.lost_store == 0) {
         return;
     }
     const auto place = static_cast<int>(preceding.total);
@@ -217,7 +217,7 @@
 void peer_sync::report_plan_source()
 {
     const bool has_source = has_plan_source();
-    if (has_source == m_had_plan_source) {
+    if (has_source == m_context.has_plan_source) {
         return;
     }
     const auto now = m_context.now();
@@ -228,7 +228,7 @@
                               {"skipped", std::to_string(m_readers.skipped_count())},
                               {"daemons", std::to_string(m_readers.daemon_count())}});
     m_context.metrics.record_plan_source(has_source);
-    m_had_plan_source = has_source;
+    m_context.has_plan_source = has_source;
     m_plan_source_changed_at = now;
 }
 
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -117,10 +117,9 @@
     int m_ticks = 0;
     bool m_local_owners_known = false;
     bool m_was_fresh = false;
-    bool m_was_synced = false;   ///< With the store, since m_reading_since.
-    steady_time m_reading_since; ///< When this daemon began or ended to read the store.
-    bool m_had_plan_source = false;
-    steady_time m_plan_source_changed_at; ///< When m_had_plan_source changed.
+    bool m_was_synced = false;            ///< With the store, since m_reading_since.
+    steady_time m_reading_since;          ///< When this daemon began or ended to read the store.
+    steady_time m_plan_source_changed_at; ///< When relay_context::has_plan_source changed.
     steady_time m_next_probe_at;          ///< The store is not probed before.
 };
 
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -42,9 +42,10 @@
     std::string own_service;                     ///< Service whose upstream runs on this instance.
     plan_replica plans;                          ///< The plan in force.
     std::uint64_t unreadable_plan_version = 0;   ///< Highest version that could not be read.
-    response_size_estimator response_sizes;      ///< Estimates by route.
-    /// When a request from this instance last failed. It may have been sent by the owned upstream,
-    /// whose own response then fails for a reason outside the upstream.
+    bool has_plan_source = false; ///< The store or a fresh store reader vouches for the plan.
+    response_size_estimator response_sizes; ///< Estimates by route.
+    /// When a request that the owned upstream may have sent last failed. The upstream's own
+    /// response then fails for a reason outside the upstream.
     steady_time local_failure_at;
     buffer_budget response_buffers; ///< For the bodies of responses that are held whole.
     stop_window stopping;           ///< Which requests are still started during a planned stop.
@@ -55,6 +56,12 @@
     /// Assigns free slots to waiting requests.
     std::function<void()> run_waiting;
 
+    /// @return host of this instance.
+    std::string_view own_host() const
+    {
+        return std::string_view(location.address).substr(0, location.address.find(':'));
+    }
+
     /// @return the version of the plan in force; 0 without one.
     std::uint64_t plan_version() const { return plans.version(); }
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -48,6 +48,15 @@
         .Increment();
 }
 
+void relay_metrics::record_identity_refusal(const std::string& reason)
+{
+    m_registry
+        .counter("galenaroad_identity_refusals_total",
+                 "Requests that could not be attributed to a client account.",
+                 {{"reason", reason}})
+        .Increment();
+}
+
 void relay_metrics::record_response_query(const std::string& outcome)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -39,6 +39,10 @@
     /// @param decision `made` or `no_budget`.
     void record_probe(const std::string& service, const std::string& decision);
 
+    /// Records a request that could not be attributed to a client account.
+    /// @param reason name of the reason; see identity_error.
+    void record_identity_refusal(const std::string& reason);
+
     /// Records a query for the response to a request whose connection was lost.
     /// @param outcome `kept`, `pending`, `not_run` or `unknown`.
     void record_response_query(const std::string& outcome);
--- a/src/telemetry/decision_log.cpp
+++ b/src/telemetry/decision_log.cpp
@@ -31,9 +31,21 @@
 }
 
 void decision_log::note(const char* decision, const std::string& request_id, log_fields fields)
+{
+    note(decision, request_id, std::move(fields), 0);
+}
+
+void decision_log::note_refusal(const char* decision, const std::string& request_id,
+                                log_fields fields)
+{
+    note(decision, request_id, std::move(fields), m_limits.burst / 2);
+}
+
+void decision_log::note(const char* decision, const std::string& request_id, log_fields fields,
+                        double reserved_tokens)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    if (!admit()) {
+    if (!admit(reserved_tokens)) {
         ++m_dropped;
         return;
     }
@@ -52,13 +64,13 @@
     return m_dropped;
 }
 
-bool decision_log::admit()
+bool decision_log::admit(double reserved_tokens)
 {
     const auto now = m_clock.steady_now();
     const std::chrono::duration<double> passed = now - m_refilled_at;
     m_refilled_at = now;
     m_tokens = std::min(m_limits.burst, m_tokens + passed.count() * m_limits.entries_per_second);
-    if (m_tokens < 1) {
+    if (m_tokens < 1 + reserved_tokens) {
         return false;
     }
     m_tokens -= 1;
--- a/src/telemetry/decision_log.h
+++ b/src/telemetry/decision_log.h
@@ -40,6 +40,11 @@
     /// @param fields the inputs that decided it, and the outcome.
     void note(const char* decision, const std::string& request_id, log_fields fields);
 
+    /// Queues an entry on a request that was refused for what its client had sent. Clients send
+    /// such requests at any rate, so these entries leave half of the burst to others.
+    /// @param decision, request_id, fields as for note().
+    void note_refusal(const char* decision, const std::string& request_id, log_fields fields);
+
     /// Queues an entry that the rate limit does not drop: start, stop, reload, dependencies.
     void note_state(const char* event, log_fields fields);
 
@@ -47,7 +52,9 @@
     std::uint64_t dropped() const;
 
 private:
-    bool admit();
+    void note(const char* decision, const std::string& request_id, log_fields fields,
+              double reserved_tokens);
+    bool admit(double reserved_tokens);
     void push(log_entry entry);
     void run();
 
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -26,6 +26,8 @@
     std::map<std::string, owner_record> records;
     std::vector<std::function<void(const std::vector<owner_record>&)>> listeners;
     plan_document plan;
+    /// Changes each plan after it has been decoded.
+    std::function<void(routing_plan&)> amend_plan = [](routing_plan&) {};
     bool is_unreachable = false;
 };
 
@@ -187,8 +189,13 @@
           id("i-" + name),
           data_centre(in_data_centre.empty() ? "dc-" + name : std::move(in_data_centre)),
           link(std::make_unique<soak_link>(loop, peer_address, listen_address)),
-          node({loop, store, log, metrics, relay_test_plan}, settings(name),
-               random_engine(std::hash<std::string>()(name)))
+          node({loop, store, log, metrics,
+                [&shared](const plan_document& document) {
+                    auto plan = relay_test_plan(document);
+                    shared.amend_plan(*plan);
+                    return plan;
+                }},
+               settings(name), random_engine(std::hash<std::string>()(name)))
     {
         node.start();
     }
@@ -317,6 +324,11 @@
     /// @param on_end called when the response is complete or has failed.
     std::shared_ptr<relay_test_call> begin(
         const std::string& method, const std::string& target, std::function<void()> on_end = [] {})
+    {
+        return begin(request(method, target), std::move(on_end));
+    }
+
+    std::shared_ptr<relay_test_call> begin(client_request sent, std::function<void()> on_end)
     {
         const auto call = std::make_shared<relay_test_call>();
         auto* const result = call.get();
@@ -335,7 +347,7 @@
             result->has_ended = true;
             on_end();
         };
-        call->exchange = client.send(a->entry_address, request(method, target), std::move(hooks));
+        call->exchange = client.send(a->entry_address, std::move(sent), std::move(hooks));
         return call;
     }
 
