--- a/src/tests/entry_route_test.cpp
+++ b/src/tests/entry_route_test.cpp
@@ -86,7 +86,7 @@
     fleet.b->announce();
     auto upload = fleet.request_with_key("POST", "/once/x", "unknown");
     upload.body = std::string(300000, 'x');
-    CHECK(fleet.call(std::move(upload))->response.status == 401);
+    CHECK(fleet.call(upload)->response.status == 401);
     const auto next = fleet.call_with_key("POST", "/once/x", "key-1");
     CHECK(next->exchange->is_reused());
     CHECK(next->response.status == 200);
@@ -123,7 +123,7 @@
     spoofed.head.fields.push_back({"x-client-account", "other"});
     spoofed.head.fields.push_back({"X-Client-Account", "urgent"});
     spoofed.head.fields.push_back({"Connection", "X-Client-Account"});
-    CHECK(fleet.call(std::move(spoofed))->response.status == 200);
+    CHECK(fleet.call(spoofed)->response.status == 200);
     REQUIRE(fleet.a->upstream.requests.size() == 1);
     REQUIRE(fleet.b->upstream.requests.size() == 1);
     for (const auto* const node : {fleet.a.get(), fleet.b.get()}) {
@@ -141,7 +141,7 @@
     fleet.b->announce();
     auto spoofed = fleet.request("GET", "/download/x");
     spoofed.head.fields.push_back({"X-Client-Account", "urgent"});
-    CHECK(fleet.call(std::move(spoofed))->response.status == 200);
+    CHECK(fleet.call(spoofed)->response.status == 200);
     CHECK(fleet.call_with_key("GET", "/download/x", "key-1")->response.status == 200);
     CHECK(fleet.call_with_key("GET", "/download/x", "unknown")->response.status == 401);
     const auto& received = fleet.b->upstream.requests;
@@ -159,7 +159,7 @@
     auto sent = fleet.request("GET", "/safe/x");
     sent.head.fields.push_back({"Authorization", "Basic abc"});
     sent.head.fields.push_back({"X-Client-Account", "mine"});
-    const auto call = fleet.begin(std::move(sent), [&] { fleet.loop.stop(); });
+    const auto call = fleet.begin(sent, [&] { fleet.loop.stop(); });
     fleet.loop.run();
     CHECK(call->response.status == 200);
     REQUIRE(fleet.b->upstream.requests.size() == 1);
--- a/src/tests/support/account_test_fleet.h
+++ b/src/tests/support/account_test_fleet.h
@@ -56,9 +56,9 @@
     }
 
     /// @return the ended call; its exchange tells whether its connection had been used before.
-    std::shared_ptr<relay_test_call> call(client_request sent)
+    std::shared_ptr<relay_test_call> call(const client_request& sent)
     {
-        const auto result = begin(std::move(sent), [this] { loop.stop(); });
+        const auto result = begin(sent, [this] { loop.stop(); });
         loop.run();
         return result;
     }
