Refuse responses with a status that is none

Seen by the new tests on x86-64, before the change: src/proxy delivered 000, 099, 600, 999, 20 and 101 as responses, and took 103 for the final response. On the path of the users' machines (src/net/http_head) 000 and the others were refused; "2000" and "200OK" were taken for 200, and a response after 101 was delivered.

Change: a status is three digits that a blank or the end of the line follows. backend_connection skips interim responses, up to 16, and refuses all but 200 to 599 after them. 101 is refused on both paths, since no request asks for another protocol. 204 and 304 with a body were right: the bytes reach no client and no later request.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -188,6 +188,7 @@
 {
     constexpr std::string_view head_end = "\r\n\r\n";
     constexpr int continue_status = 100;
+    constexpr int switching_protocols_status = 101;
     constexpr int first_final_status = 200;
     const auto end = m_input.find(head_end);
     const auto size = end == std::string::npos ? m_input.size() : end + head_end.size();
@@ -200,7 +201,8 @@
     }
     auto read =
         http_head::read_response(std::string_view(m_input).substr(0, size), m_request.head.method);
-    if (!read) {
+    // No request asks for another protocol, so nothing is known of the bytes after 101.
+    if (!read || read->status == switching_protocols_status) {
         fail(exchange_error::malformed);
         return false;
     }
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -196,12 +196,14 @@
     const auto status = parse_number(line.substr(status_offset, status_size));
     constexpr std::uint64_t min_status = 100;
     constexpr std::uint64_t max_status = 599;
-    if (!status || *status < min_status || *status > max_status) {
+    const auto rest = line.substr(std::min(line.size(), status_offset + status_size));
+    const bool ends_there = rest.empty() || rest.front() == ' ';
+    if (!status || *status < min_status || *status > max_status || !ends_there) {
         return tl::make_unexpected(head_error::malformed);
     }
     http_response_head head;
     head.status = static_cast<int>(*status);
-    head.reason = std::string(trimmed(line.substr(status_offset + status_size)));
+    head.reason = std::string(trimmed(rest));
     auto fields = read_fields(text);
     if (!fields) {
         return tl::make_unexpected(fields.error());
--- a/src/proxy/backend_call.cpp
+++ b/src/proxy/backend_call.cpp
@@ -195,7 +195,10 @@
     }
     HTTPResponse response;
     connection.limit_wait(remaining_until(order.deadline, m_clock.steady_now()));
-    connection.receive_head(response);
+    if (!connection.receive_head(response)) {
+        return attempt_result::failed(error_kind::upstream_failed,
+                                      "The backend server sent an invalid status");
+    }
     attempt_result outcome;
     outcome.status = response.getStatus();
     outcome.first_byte =
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -15,6 +15,11 @@
 }
 
 constexpr auto send_timeout = std::chrono::milliseconds(10'000);
+constexpr int min_interim_status = 100;
+constexpr int min_final_status = 200;
+constexpr int max_final_status = 599;
+// A server that sends them without end would hold the call beyond its deadline.
+constexpr int max_interim_responses = 16;
 
 } // namespace
 
@@ -68,9 +73,21 @@
     return socket().poll(to_timespan(wait), Poco::Net::Socket::SELECT_READ);
 }
 
-void backend_connection::receive_head(Poco::Net::HTTPResponse& response)
+bool backend_connection::receive_head(Poco::Net::HTTPResponse& response)
 {
-    receiveResponse(response);
+    for (int count = 0; count <= max_interim_responses; ++count) {
+        receiveResponse(response);
+        const int status = response.getStatus();
+        if (status >= min_final_status) {
+            return status <= max_final_status;
+        }
+        // No request asks for another protocol.
+        if (status < min_interim_status ||
+            status == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS) {
+            return false;
+        }
+    }
+    return false;
 }
 
 void backend_connection::abandon()
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -41,10 +41,11 @@
     /// @return true when there is something to read.
     bool wait_readable(std::chrono::milliseconds wait);
 
-    /// Reads the head of the response.
+    /// Reads the head of the final response; interim responses are skipped.
     /// @param response receives the head.
+    /// @return false when the status is not one of a final response.
     /// @throw Poco::Exception when the connection failed or the head is malformed.
-    void receive_head(Poco::Net::HTTPResponse& response);
+    bool receive_head(Poco::Net::HTTPResponse& response);
 
     /// Breaks the connection at once. The backend server then sees an incomplete request, also
     /// when the library closes a chunked body afterwards.
--- a/src/tests/backend_call_test.cpp
+++ b/src/tests/backend_call_test.cpp
@@ -39,18 +39,28 @@
     std::thread m_thread;
 };
 
-void answer(Poco::Net::StreamSocket& socket, const std::string& body, const std::string& more = "")
+void answer_with(Poco::Net::StreamSocket& socket, const std::string& text)
 {
     std::string request;
     char byte = 0;
     while (request.find("\r\n\r\n") == std::string::npos && socket.receiveBytes(&byte, 1) == 1) {
         request.push_back(byte);
     }
-    const auto text = "HTTP/1.1 200 OK\r\nConnection: Keep-Alive\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body + more;
     socket.sendBytes(text.data(), static_cast<int>(text.size()));
 }
 
+std::string response_text(const std::string& status, const std::string& body)
+{
+    return "HTTP/1.1 " + status +
+           "\r\nConnection: Keep-Alive\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+}
+
+void answer(Poco::Net::StreamSocket& socket, const std::string& body, const std::string& more = "")
+{
+    answer_with(socket, response_text("200 OK", body) + more);
+}
+
 struct text_sink : answer_sink {
     std::string body;
     bool begin(const answer_head& /*head*/) override { return true; }
@@ -124,3 +134,51 @@
     CHECK(call(pool, backend.address(), false) == "upstream_failed");
     CHECK_FALSE(backend.has_further_connection());
 }
+
+TEST_CASE("backend_call: a response with an invalid status is a failure", "[proxy]")
+{
+    // Guards against a caller that receives a status such as 000.
+    const process_clock time;
+    const std::string status = GENERATE("000 OK", "099 OK", "600 OK", "999 OK", "2000 OK", "20 OK",
+                                        "2x0 OK", "200OK", "101 Switching Protocols");
+    INFO(status);
+    scripted_backend backend(
+        {[&](auto& socket) { answer_with(socket, response_text(status, "none")); }});
+    backend_pool pool(time, 4);
+    CHECK(call(pool, backend.address(), false) == "upstream_failed");
+}
+
+TEST_CASE("backend_call: interim responses do not replace the final one", "[proxy]")
+{
+    // Guards against an interim response that is taken for the final one, and against a call that
+    // reads interim responses without end.
+    const process_clock time;
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    scripted_backend backend({[&](auto& socket) {
+                                  answer_with(socket,
+                                              interim + interim + response_text("200 OK", "final"));
+                              },
+                              [&](auto& socket) {
+                                  std::string endless;
+                                  for (int count = 0; count < 1000; ++count) {
+                                      endless += interim;
+                                  }
+                                  answer_with(socket, endless);
+                              }});
+    backend_pool pool(time, 4);
+    CHECK(call(pool, backend.address(), false) == "final");
+    CHECK(call(pool, backend.address(), false) == "upstream_failed");
+}
+
+TEST_CASE("backend_call: a body after a response without one belongs to no request", "[proxy]")
+{
+    // Guards against bytes that are delivered with this response or the next one.
+    const process_clock time;
+    const std::string status = GENERATE("204 No Content", "304 Not Modified");
+    scripted_backend backend(
+        {[&](auto& socket) { answer_with(socket, response_text(status, "stray")); },
+         [](auto& socket) { answer(socket, "second"); }});
+    backend_pool pool(time, 4);
+    CHECK(call(pool, backend.address()).empty());
+    CHECK(call(pool, backend.address()) == "second");
+}
