--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "proxy/backend_connection.h"
 
+#include <Poco/Net/HTTPHeaderStream.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
@@ -76,7 +77,7 @@
 bool backend_connection::receive_head(Poco::Net::HTTPResponse& response)
 {
     for (int count = 0; count <= max_interim_responses; ++count) {
-        receiveResponse(response);
+        read_head(response);
         const int status = response.getStatus();
         if (status >= min_final_status) {
             return status <= max_final_status;
@@ -90,6 +91,22 @@
     return false;
 }
 
+// HTTPClientSession::receiveResponse() would skip `100 Continue` for as long as it arrives.
+void backend_connection::read_head(Poco::Net::HTTPResponse& response)
+{
+    response.clear();
+    Poco::Net::HTTPHeaderInputStream head(*this);
+    try {
+        response.read(head);
+    }
+    catch (const Poco::Exception&) {
+        if (networkException() != nullptr) {
+            networkException()->rethrow();
+        }
+        throw;
+    }
+}
+
 void backend_connection::abandon()
 {
     try {
--- a/src/proxy/backend_connection.h
+++ b/src/proxy/backend_connection.h
@@ -67,6 +67,7 @@
 private:
     // Reconnection by the library would hide that a request was sent on a new connection.
     bool mustReconnect() const override { return false; }
+    void read_head(Poco::Net::HTTPResponse& response);
     int write(const char* buffer, std::streamsize length) override;
 
     std::string m_address;
