--- a/src/tests/backend_call_test.cpp
+++ b/src/tests/backend_call_test.cpp
@@ -17,7 +17,7 @@
 /// Backend server that handles its connections one after the other, each by its own script.
 class scripted_backend {
 public:
-    explicit scripted_backend(std::vector<connection_script> scripts)
+    explicit scripted_backend(const std::vector<connection_script>& scripts)
         : m_socket(Poco::Net::SocketAddress("127.0.0.1:0")), m_thread([this, scripts] {
               for (const auto& script : scripts) {
                   m_open.push_back(m_socket.acceptConnection());
@@ -26,6 +26,10 @@
           })
     {
     }
+    scripted_backend(const scripted_backend&) = delete;
+    scripted_backend& operator=(const scripted_backend&) = delete;
+    scripted_backend(scripted_backend&&) = delete;
+    scripted_backend& operator=(scripted_backend&&) = delete;
     ~scripted_backend() { m_thread.join(); }
     std::string address() const { return m_socket.address().toString(); }
     bool has_further_connection()
--- a/src/tests/invalid_status_test.cpp
+++ b/src/tests/invalid_status_test.cpp
@@ -11,6 +11,12 @@
 const std::string stamp = "X-Request-Id: r-1\r\nX-Upstream-Stamp: s\r\n";
 const std::string body = "Content-Length: 4\r\n\r\ndone";
 
+std::string response_text(const std::string& line)
+{
+    auto text = line;
+    return text.append("\r\n").append(body);
+}
+
 /// Status lines that no client may receive as a response.
 const std::vector<std::string> invalid_lines = {
     "HTTP/1.1 000 OK",  "HTTP/1.1 0 OK",    "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
@@ -44,7 +50,7 @@
     // Guards against a response without a meaning that is taken for a success or a failure.
     for (const auto& line : invalid_lines) {
         INFO(line);
-        CHECK_FALSE(http_head::read_response(line + "\r\n" + body, "GET").has_value());
+        CHECK_FALSE(http_head::read_response(response_text(line), "GET").has_value());
     }
     for (const auto* const line : {"HTTP/1.1 100 OK", "HTTP/1.1 200", "HTTP/1.0 599 "}) {
         INFO(line);
