--- a/src/tests/entry_route_test.cpp
+++ b/src/tests/entry_route_test.cpp
@@ -72,11 +72,13 @@
     CHECK(http_head::find(refused.fields, "WWW-Authenticate") == "Bearer");
     CHECK_FALSE(http_head::find(refused.fields, "Retry-After").has_value());
     CHECK(fleet.send("GET", "/safe/x").status == 401);
+    CHECK(fleet.send("GET", "/unserved/x").status == 401);
+    CHECK(fleet.call_with_key("GET", "/unserved/x", "key-1")->response.status == 503);
     const auto without_owner = fleet.call_with_key("GET", "/safe/x", "key-1")->response;
     CHECK(without_owner.status == 503);
     CHECK(http_head::find(without_owner.fields, "Retry-After").has_value());
     CHECK(refusals(*fleet.a, "unknown_key") == 1);
-    CHECK(refusals(*fleet.a, "no_key") == 1);
+    CHECK(refusals(*fleet.a, "no_key") == 2);
 }
 
 TEST_CASE("entry_route: a refused request leaves its connection usable", "[relay]")
--- a/src/tests/support/account_test_fleet.h
+++ b/src/tests/support/account_test_fleet.h
@@ -4,7 +4,8 @@
 
 namespace galenaroad {
 
-/// A relay_test_fleet whose plan has client accounts. Its `/download/` route is public.
+/// A relay_test_fleet whose plan has client accounts. Its `/download/` route is public, and its
+/// `/unserved/` route has no service.
 struct account_test_fleet : relay_test_fleet {
     std::vector<client_account> accounts = {
         make_account("first", {"key-1", "key-2"}, {}),
@@ -17,6 +18,11 @@
         shared.amend_plan = [this](routing_plan& plan) {
             plan.has_accounts = true;
             plan.accounts = accounts;
+            auto unserved = plan.routes.front();
+            unserved.name = "unserved";
+            unserved.prefix = "/unserved/";
+            unserved.targets.clear();
+            plan.routes.push_back(unserved);
             for (auto& rule : plan.routes) {
                 rule.is_public = rule.name == "download";
                 rule.priority = 3;
