Decode client accounts and hold them in few bytes

Accounts as objects in shared maps took 658 bytes each (131.7 MB for 200,000 with two keys, x86-64), twice the memory that daemons have for control.

Change: account_index keeps accounts as bytes in 1,024 parts that versions share, and the index of keys holds 8 bytes a key, compared with the whole digest of the account found. The table of accounts of the operators' configuration is decoded; keys become digests at once, and errors name accounts and counts, never keys. plan_change::append joins pages in one place.

--- a/src/fleet/account_index.h
+++ b/src/fleet/account_index.h
@@ -1,14 +1,15 @@
 #pragma once
 
 #include "fleet/client_account.h"
-#include "fleet/persistent_map.h"
+#include "fleet/key_claims.h"
+#include "fleet/packed_accounts.h"
+#include "fleet/shared_parts.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace galenaroad {
 
@@ -29,8 +30,8 @@
     /// @return the account that the key identifies, or null.
     account_ptr find_by_key(const api_key_digest& key) const;
 
-    /// @return the checksum of an account, as plan_digest::of(); 0 when there is none.
-    std::uint64_t digest_of(std::string_view name) const;
+    /// @return true when an account with the same contents is held.
+    bool holds(const client_account& account) const;
 
     /// Adds an account or replaces the one with the same name.
     /// @param account the account.
@@ -41,7 +42,7 @@
     void erase(const std::string& name);
 
     /// @return number of accounts.
-    std::size_t size() const { return m_accounts.size(); }
+    std::size_t size() const { return m_size; }
 
     /// @return sum of the accounts' checksums.
     std::uint64_t digest() const { return m_digest; }
@@ -50,26 +51,21 @@
     template <typename Function>
     void for_each(Function function) const
     {
-        m_accounts.for_each([&](const indexed_account& each) { function(*each.account); });
+        m_accounts.for_each([&](const packed_accounts& part) { part.for_each(function); });
     }
 
 private:
-    struct indexed_account {
-        account_ptr account;
-        std::uint64_t digest = 0;
-    };
-
-    /// The accounts that declare one key.
-    struct key_claim {
-        api_key_digest key;
-        std::vector<std::string> names;
-    };
-
-    void add_claim(const api_key_digest& key, const std::string& name);
-    void remove_claim(const api_key_digest& key, const std::string& name);
-
-    persistent_map<indexed_account> m_accounts; ///< By name.
-    persistent_map<key_claim> m_claims;         ///< By key.
+    // A change copies the table of parts and one part, which are of similar size with some 200,000
+    // accounts.
+    static constexpr std::size_t part_count = 1024;
+
+    static std::uint32_t hash_of(std::string_view name);
+    static std::size_t part_of(std::uint32_t hash);
+    static std::size_t part_of(const api_key_digest& key);
+
+    shared_parts<packed_accounts, part_count> m_accounts; ///< By the hash of their names.
+    shared_parts<key_claims, part_count> m_claims;        ///< By key.
+    std::size_t m_size = 0;
     std::uint64_t m_digest = 0;
 };
 
--- a/src/fleet/client_account.cpp
+++ b/src/fleet/client_account.cpp
@@ -40,6 +40,13 @@
     return result;
 }
 
+api_key_digest api_key_digest::from_bytes(std::string_view bytes)
+{
+    api_key_digest result;
+    std::copy_n(bytes.begin(), size, result.m_bytes.begin());
+    return result;
+}
+
 std::string api_key_digest::hex() const
 {
     std::string text;
--- a/src/fleet/client_account.h
+++ b/src/fleet/client_account.h
@@ -15,6 +15,8 @@
     /// The first 128 bits of SHA-256: enough that no two keys share a digest and that no key can be
     /// found for a digest, at half of the memory.
     static constexpr std::size_t size = 16;
+    /// Longer texts are not keys: they leave no room for the other fields of a request.
+    static constexpr std::size_t max_key_bytes = 4096;
 
     api_key_digest() = default;
 
@@ -26,6 +28,10 @@
     /// @return the digest, or nothing when the text is not one.
     static std::optional<api_key_digest> from_hex(std::string_view hex);
 
+    /// @param bytes the digest's bytes, as from bytes(); there are `size` of them.
+    /// @return the digest.
+    static api_key_digest from_bytes(std::string_view bytes);
+
     /// @return the digest in hexadecimal digits.
     std::string hex() const;
 
--- a/src/fleet/plan_change.h
+++ b/src/fleet/plan_change.h
@@ -32,6 +32,10 @@
     std::vector<std::string> removed_services;
     std::vector<client_account> accounts; ///< Added or changed.
     std::vector<std::string> removed_accounts;
+
+    /// Adds the parts of the next page of the same change.
+    /// @param next the page's parts.
+    void append(plan_change next);
 };
 
 /// Name of a route, service or client account of a plan.
--- a/src/fleet/plan_index.cpp
+++ b/src/fleet/plan_index.cpp
@@ -187,7 +187,7 @@
     std::unordered_set<std::string_view> names;
     for (const auto& account : next) {
         names.insert(account.name);
-        if (m_accounts.digest_of(account.name) != plan_digest::of(account)) {
+        if (!m_accounts.holds(account)) {
             change.accounts.push_back(account);
         }
     }
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -4,7 +4,6 @@
 
 #include <Poco/Net/HTTPResponse.h>
 #include <algorithm>
-#include <iterator>
 #include <random>
 
 namespace galenaroad {
@@ -310,15 +309,7 @@
         m_change = std::move(part);
         return;
     }
-    std::move(part.routes.begin(), part.routes.end(), std::back_inserter(m_change.routes));
-    std::move(part.removed_routes.begin(), part.removed_routes.end(),
-              std::back_inserter(m_change.removed_routes));
-    m_change.services.merge(part.services);
-    std::move(part.removed_services.begin(), part.removed_services.end(),
-              std::back_inserter(m_change.removed_services));
-    std::move(part.accounts.begin(), part.accounts.end(), std::back_inserter(m_change.accounts));
-    std::move(part.removed_accounts.begin(), part.removed_accounts.end(),
-              std::back_inserter(m_change.removed_accounts));
+    m_change.append(std::move(part));
 }
 
 void plan_fetcher::finish_change(const std::string& peer)
--- a/src/tests/decoder_robustness_test.cpp
+++ b/src/tests/decoder_robustness_test.cpp
@@ -68,6 +68,14 @@
     page.part.removed_routes = {"b"};
     page.part.services["s"] = {"/health", 3};
     page.part.removed_services = {"t"};
+    client_account account;
+    account.name = "c";
+    account.keys = {api_key_digest::of("k")};
+    account.priority = 1;
+    account.quota = {153, 20};
+    page.part.accounts = {account};
+    page.part.removed_accounts = {"d"};
+    page.part.properties.has_accounts = true;
     page.next_position = "rc";
     return page;
 }
@@ -80,7 +88,8 @@
     return {
         {"plan", R"({"version":7,"routes":{"a":{"host":"h","prefix":"/","kind":"safe",
             "service":"s"}},"services":{"s":{"max_connections":3}},
-            "limits":{"max_body_bytes":5}})",
+            "limits":{"max_body_bytes":5},"tenants":{"c":{"api_keys":["k"],"priority":1,
+            "rate_per_s":153,"burst":20}}})",
          [](const auto& text) {
              return plan_decoder::decode({7, text}).has_value();
          }},
--- a/src/tests/support/test_plans.h
+++ b/src/tests/support/test_plans.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace galenaroad {
 
@@ -34,4 +35,17 @@
     return plan;
 }
 
+/// @param name name of the account.
+/// @param keys texts of its keys.
+inline client_account make_test_account(const std::string& name,
+                                        const std::vector<std::string>& keys)
+{
+    client_account account;
+    account.name = name;
+    for (const auto& key : keys) {
+        account.keys.push_back(api_key_digest::of(key));
+    }
+    return account;
+}
+
 } // namespace galenaroad
