--- a/src/accounts/request_authenticator.cpp
+++ b/src/accounts/request_authenticator.cpp
@@ -19,7 +19,7 @@
 {
     const bool is_printable =
         std::all_of(key.begin(), key.end(), [](char c) { return c > 0x20 && c < 0x7f; });
-    return !key.empty() && key.size() <= request_authenticator::max_key_bytes && is_printable;
+    return !key.empty() && key.size() <= api_key_digest::max_key_bytes && is_printable;
 }
 
 } // namespace
--- a/src/accounts/request_authenticator.h
+++ b/src/accounts/request_authenticator.h
@@ -25,8 +25,6 @@
 
     /// Name of the field that carries the key, as `Bearer KEY`.
     static constexpr std::string_view field = "Authorization";
-    /// Maximum length of a key, which bounds the cost of its digest.
-    static constexpr std::size_t max_key_bytes = 256;
 
     /// @param plan the plan in force; must outlive the authenticator.
     /// @param state whether the plan may be out of date.
--- a/src/tests/request_authenticator_test.cpp
+++ b/src/tests/request_authenticator_test.cpp
@@ -65,7 +65,7 @@
     CHECK(error_of("Bearer key-b key-b") == identity_error::malformed_key);
     CHECK(error_of("Bearer key-b\t") == identity_error::malformed_key);
     CHECK(error_of("Bearer key-\x81") == identity_error::malformed_key);
-    CHECK(error_of("Bearer " + std::string(request_authenticator::max_key_bytes + 1, 'k')) ==
+    CHECK(error_of("Bearer " + std::string(api_key_digest::max_key_bytes + 1, 'k')) ==
           identity_error::malformed_key);
     CHECK(error_of("Bearer key-c") == identity_error::unknown_key);
     CHECK(error_of("Bearer KEY-B") == identity_error::unknown_key);
