Let a stopping owner run requests that can be retried

From the signal on, an owner refused every request, although its daemon ran on for 2.5 to 5.3 s to finish what it had begun.

Until clients have learned of the stop, an owner now accepts requests that their entry may send to another owner, and its reports say that it accepts only these. Requests that may run once are refused as before.

--- a/src/fleet/relay_message_codec.cpp
+++ b/src/fleet/relay_message_codec.cpp
@@ -132,6 +132,9 @@
     report.plan_version = reader.next<std::uint64_t>();
     report.token = reader.next<std::string>();
     report.grants_retry = reader.next_flag();
+    if (reader.has_next()) {
+        report.accepts_only_retryable = reader.next_flag();
+    }
     return report;
 }
 
@@ -171,7 +174,9 @@
 
 bool accepts_requests(const attempt_report& report)
 {
-    return report.reason != owner_reason::stopping && report.reason != owner_reason::draining &&
+    const bool has_stopped =
+        report.reason == owner_reason::stopping && !report.accepts_only_retryable;
+    return !has_stopped && report.reason != owner_reason::draining &&
            report.reason != owner_reason::unknown_upstream;
 }
 
@@ -207,6 +212,7 @@
         .add(report.plan_version)
         .add(report.token)
         .add(report.grants_retry)
+        .add(report.accepts_only_retryable)
         .text();
 }
 
--- a/src/fleet/relay_message_codec.h
+++ b/src/fleet/relay_message_codec.h
@@ -71,6 +71,8 @@
     std::uint64_t plan_version = 0; ///< Version of the plan in force at the owner.
     std::string token;              ///< To be sent back with a response_query.
     bool grants_retry = false;      ///< The request may be retried without further retry budget.
+    /// The owner is stopping and accepts only requests that can be retried.
+    bool accepts_only_retryable = false;
 };
 
 /// @return false when the owner refuses all requests for now.
--- a/src/load/owned_upstream.cpp
+++ b/src/load/owned_upstream.cpp
@@ -110,7 +110,8 @@
 
 owner_reason owned_upstream::refusal_reason_for(const attempt_metadata& metadata) const
 {
-    if (m_is_stopping) {
+    const bool can_retry = is_idempotent(metadata.kind) && metadata.may_retry;
+    if (has_stopped_accepting() || (m_accepts_until && !can_retry)) {
         return owner_reason::stopping;
     }
     const auto reason = recheck(metadata);
@@ -120,7 +121,6 @@
     if (m_avoided_until > m_clock.steady_now()) {
         return owner_reason::unreachable;
     }
-    const bool can_retry = is_idempotent(metadata.kind) && metadata.may_retry;
     const double threshold = metadata.may_wait ? m_policy.last_resort_refusal_threshold
                                                : m_policy.search_refusal_threshold;
     const bool is_too_risky =
@@ -128,6 +128,16 @@
     return is_too_risky ? owner_reason::in_doubt : owner_reason::none;
 }
 
+bool owned_upstream::accepts_requests() const
+{
+    return !has_stopped_accepting() && m_lifecycle.serving() != nullptr;
+}
+
+bool owned_upstream::has_stopped_accepting() const
+{
+    return m_accepts_until && m_clock.steady_now() >= *m_accepts_until;
+}
+
 std::chrono::milliseconds owned_upstream::wait_limit(const attempt_metadata& metadata) const
 {
     // A call between services may wait past its own latency objective, because a refusal would fail
--- a/src/load/owned_upstream.h
+++ b/src/load/owned_upstream.h
@@ -82,8 +82,11 @@
     /// Called when the state that an earlier start announced is known.
     void finish_restore() { m_lifecycle.finish_restore(); }
 
-    /// Refuses all further requests because the daemon is shutting down.
-    void stop() { m_is_stopping = true; }
+    /// Called when the daemon begins to shut down. From here on only requests that can be retried
+    /// are accepted, and none any more once that has ended. An upstream whose owner refused all of
+    /// them during its whole stop would get no request for about five seconds.
+    /// @param accepts_until time from which all requests are refused.
+    void stop(steady_time accepts_until) { m_accepts_until = accepts_until; }
 
     /// Decides whether a request runs, waits or is refused.
     /// @param metadata metadata of the attempt.
@@ -140,7 +143,10 @@
     std::optional<std::uint64_t> next() { return m_slots.next(); }
 
     /// @return false while all requests are refused.
-    bool accepts_requests() const { return !m_is_stopping && m_lifecycle.serving() != nullptr; }
+    bool accepts_requests() const;
+
+    /// @return true while the daemon shuts down and accepts requests that can be retried.
+    bool accepts_only_retryable() const { return m_accepts_until && !has_stopped_accepting(); }
 
     /// @return the probability in percent that the upstream fails or rejects a request.
     int failure_probability_percent() const;
@@ -179,6 +185,7 @@
     };
 
     owner_reason refusal_reason_for(const attempt_metadata& metadata) const;
+    bool has_stopped_accepting() const;
     void record_service_time(const std::string& route, std::chrono::nanoseconds service_time);
     owner_decision refusal(owner_reason reason) const;
 
@@ -197,7 +204,7 @@
     /// Time of the latest outcome that was not inconclusive.
     std::optional<steady_time> m_last_outcome_at;
     steady_time m_avoided_until;
-    bool m_is_stopping = false;
+    std::optional<steady_time> m_accepts_until; ///< Set once the daemon shuts down.
 };
 
 } // namespace galenaroad
--- a/src/load/owner_ranking.cpp
+++ b/src/load/owner_ranking.cpp
@@ -81,7 +81,7 @@
     bool is_probe_due = false;
     for (const auto* const record : directory.ready_for(requirements.service)) {
         if (requirements.excluded.count(record->address) > 0 ||
-            !is_reachable(record->address, now) ||
+            !is_available(record->address, requirements.may_retry, now) ||
             would_refuse(record->address, requirements.thresholds, now)) {
             continue;
         }
@@ -151,16 +151,17 @@
     view.avoided_until = now + avoidance_time;
 }
 
-bool owner_ranking::is_reachable(const std::string& address, steady_time now) const
+bool owner_ranking::is_available(const std::string& address, bool may_retry, steady_time now) const
 {
     const auto found = m_views.find(address);
     if (found == m_views.end()) {
         return true;
     }
     const auto& view = found->second;
-    const bool accepts_requests =
-        view.health.accepts_requests || now - view.reported_at > leaving_validity;
-    return accepts_requests && view.avoided_until <= now;
+    const bool accepts_this =
+        view.health.accepts_requests && (may_retry || !view.health.accepts_only_retryable);
+    const bool is_outdated = now - view.reported_at > leaving_validity;
+    return (accepts_this || is_outdated) && view.avoided_until <= now;
 }
 
 bool owner_ranking::would_refuse(const std::string& address, refusal_thresholds thresholds,
--- a/src/load/owner_ranking.h
+++ b/src/load/owner_ranking.h
@@ -28,6 +28,8 @@
     /// Time since the latest outcome that gave evidence about the upstream; nothing if the owner
     /// did not report it. A refusal reports health without a new outcome.
     std::optional<std::chrono::milliseconds> last_outcome_age = std::nullopt;
+    /// True while the owner refuses requests that cannot be retried because it is stopping.
+    bool accepts_only_retryable = false;
 };
 
 /// Thresholds above which an owner refuses a request.
@@ -106,7 +108,10 @@
 
     /// @param address the owner's address.
     /// @return false while the owner is avoided because it was unreachable or is leaving.
-    bool is_reachable(const std::string& address, steady_time now) const;
+    bool is_reachable(const std::string& address, steady_time now) const
+    {
+        return is_available(address, false, now);
+    }
 
 private:
     struct owner_view {
@@ -120,6 +125,10 @@
         int failed_connections = 0;
     };
 
+    /// @return is_reachable(), but true for an owner that is stopping if it accepts requests that
+    /// can be retried and this one can.
+    bool is_available(const std::string& address, bool may_retry, steady_time now) const;
+
     double cost(const owner_record& record, const owner_requirements& requirements,
                 steady_time now);
     const owner_view* reported_view(const std::string& address) const;
--- a/src/load/stop_window.cpp
+++ b/src/load/stop_window.cpp
@@ -17,9 +17,10 @@
     return !m_exits_at || now < m_clients_notified_at || deadline <= *m_exits_at;
 }
 
-bool stop_window::may_start_admitted(steady_time deadline) const
+bool stop_window::may_start_owned(steady_time deadline, bool can_retry, steady_time now) const
 {
-    return !m_exits_at || deadline <= *m_exits_at;
+    const bool is_early = now < m_clients_notified_at;
+    return !m_exits_at || deadline <= *m_exits_at || (can_retry && is_early);
 }
 
 std::chrono::milliseconds stop_window::time_until_exit(steady_time now) const
--- a/src/load/stop_window.h
+++ b/src/load/stop_window.h
@@ -26,11 +26,14 @@
     /// @return true if the request is accepted.
     bool accepts_request(steady_time deadline, steady_time now) const;
 
-    /// Decides on a request that has been admitted for the owned upstream and has not been sent to
-    /// it. Another owner can run it.
+    /// Decides on a request for the owned upstream that has not been sent to it. Another owner can
+    /// run it.
     /// @param deadline the request's deadline.
+    /// @param can_retry true if its entry may send it to another owner after the exit has cut it
+    /// off.
+    /// @param now the current time.
     /// @return true if the request may start.
-    bool may_start_admitted(steady_time deadline) const;
+    bool may_start_owned(steady_time deadline, bool can_retry, steady_time now) const;
 
     /// @param now the current time.
     /// @return the time until the exit; 0 before begin() and after the exit.
--- a/src/relay/health_report_codec.cpp
+++ b/src/relay/health_report_codec.cpp
@@ -14,6 +14,8 @@
 constexpr int max_load_percent = 1'000'000;
 constexpr std::int64_t max_age_ms = 60'000;
 constexpr std::size_t fields_per_report = 6;
+// Only reports of owners that are stopping have one more, which older daemons cannot read.
+constexpr std::size_t max_fields_per_report = 7;
 
 json last_outcome_age_to_json(const owner_health& health)
 {
@@ -25,9 +27,14 @@
 
 json report_to_json(const relayed_report& report)
 {
-    return json::array({report.owner, std::lround(report.health.failure_probability * percent),
-                        std::lround(report.health.load * percent), report.age.count(),
-                        report.health.accepts_requests, last_outcome_age_to_json(report.health)});
+    auto value =
+        json::array({report.owner, std::lround(report.health.failure_probability * percent),
+                     std::lround(report.health.load * percent), report.age.count(),
+                     report.health.accepts_requests, last_outcome_age_to_json(report.health)});
+    if (report.health.accepts_only_retryable) {
+        value.push_back(true);
+    }
+    return value;
 }
 
 bool is_unsigned_up_to(const json& value, std::int64_t max)
@@ -38,11 +45,13 @@
 
 std::optional<relayed_report> report_from_json(const json& value)
 {
-    if (!value.is_array() || value.size() != fields_per_report || !value[0].is_string() ||
+    if (!value.is_array() || value.size() < fields_per_report ||
+        value.size() > max_fields_per_report || !value[0].is_string() ||
         !is_unsigned_up_to(value[1], static_cast<std::int64_t>(percent)) ||
         !is_unsigned_up_to(value[2], max_load_percent) ||
         !is_unsigned_up_to(value[3], max_age_ms) || !value[4].is_boolean() ||
-        !(value[5].is_null() || is_unsigned_up_to(value[5], max_age_ms))) {
+        !(value[5].is_null() || is_unsigned_up_to(value[5], max_age_ms)) ||
+        (value.size() == max_fields_per_report && !value[fields_per_report].is_boolean())) {
         return {};
     }
     relayed_report report;
@@ -53,6 +62,8 @@
     if (!value[5].is_null()) {
         report.health.last_outcome_age = std::chrono::milliseconds(value[5].get<std::int64_t>());
     }
+    report.health.accepts_only_retryable =
+        value.size() == max_fields_per_report && value[fields_per_report].get<bool>();
     report.age = std::chrono::milliseconds(value[3].get<std::int64_t>());
     return report;
 }
--- a/src/relay/owner_call.cpp
+++ b/src/relay/owner_call.cpp
@@ -159,7 +159,7 @@
     m_report = *report;
     constexpr double percent = 100;
     owner_health health{report->failing_percent / percent, report->load_percent / percent,
-                        accepts_requests(*report), std::nullopt};
+                        accepts_requests(*report), std::nullopt, report->accepts_only_retryable};
     if (report->result != owner_result::not_run) {
         health.last_outcome_age = 0ms;
     }
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -203,7 +203,8 @@
     if (reason != owner_reason::none) {
         return reason;
     }
-    if (!m_context.stopping.may_start_admitted(m_deadline)) {
+    const bool can_retry = is_idempotent(m_metadata.kind) && m_metadata.may_retry;
+    if (!m_context.stopping.may_start_owned(m_deadline, can_retry, m_context.now())) {
         return owner_reason::stopping;
     }
     const bool is_late = m_deadline - m_context.now() < min_remaining;
--- a/src/relay/owner_response_builder.cpp
+++ b/src/relay/owner_response_builder.cpp
@@ -26,6 +26,7 @@
     message.load_percent = context.owned.load_percent();
     message.plan_version = context.plan_version();
     message.token = context.responses.token();
+    message.accepts_only_retryable = context.owned.accepts_only_retryable();
     return message;
 }
 
@@ -34,7 +35,7 @@
     constexpr double percent = 100;
     return {context.owned.failure_probability_percent() / percent,
             context.owned.load_percent() / percent, context.owned.accepts_requests(),
-            context.owned.last_outcome_age()};
+            context.owned.last_outcome_age(), context.owned.accepts_only_retryable()};
 }
 
 http_response_head owner_response_builder::not_run(const relay_context& context,
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -539,7 +539,7 @@
     m_is_stopping = true;
     m_on_stopped = std::move(on_stopped);
     m_stopping_since = m_context.now();
-    m_context.owned.stop();
+    m_context.owned.stop(m_stopping_since + min_stop_time);
     on_health_reported(m_settings.location.address, owner_response_builder::health(m_context));
     m_dependencies.loop.after(closing_delay, [this] { m_entry_server.start_closing(); });
     m_context.stopping.begin(m_stopping_since + min_stop_time,
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -151,6 +151,22 @@
     CHECK(setup.choose(small_payload_bytes) == "near");
 }
 
+TEST_CASE("owner_ranking: an owner that is stopping is asked for requests that can be retried",
+          "[relay]")
+{
+    // Guards against sound upstreams without requests while daemons are restarted in turn
+    // (issue 48), and against searches that ask them for requests that they refuse.
+    fixture setup;
+    constexpr bool may_retry = true;
+    setup.ranking.record_relayed_health("near", {0, 0, true, 0ms, true}, setup.time.steady_now());
+    CHECK(setup.choose(small_payload_bytes) == "far");
+    CHECK(setup.choose(small_payload_bytes, {}, {}, may_retry) == "near");
+    setup.time.advance(1s);
+    CHECK(setup.choose(small_payload_bytes) == "far");
+    setup.time.advance(1s);
+    CHECK(setup.choose(small_payload_bytes) == "near");
+}
+
 TEST_CASE("owner_ranking: requests that can be retried probe suspect owners", "[relay]")
 {
     // Guards against healthy upstreams that get no requests for two seconds because they failed
--- a/src/tests/relay_message_codec_test.cpp
+++ b/src/tests/relay_message_codec_test.cpp
@@ -37,6 +37,7 @@
     report.retry_after = 250ms;
     report.token = "1:2";
     report.grants_retry = true;
+    report.accepts_only_retryable = true;
     const auto decoded_report =
         relay_message_codec::decode_report(relay_message_codec::encode(report));
     REQUIRE(decoded_report.has_value());
@@ -45,6 +46,7 @@
     CHECK(decoded_report->retry_after == 250ms);
     CHECK(decoded_report->token == "1:2");
     CHECK(decoded_report->grants_retry);
+    CHECK(decoded_report->accepts_only_retryable);
 
     const auto decoded_query =
         relay_message_codec::decode_query(relay_message_codec::encode(response_query{"77", "1:2"}));
