Let a stopping owner accept requests until shortly before its exit

Requests that can be retried are now accepted until 1.5 s before the exit.

An owner that announces an upstream is asked at once: entries dropped a restarted owner as leaving for up to 1.5 s after it had its upstream.

--- a/src/load/owner_ranking.cpp
+++ b/src/load/owner_ranking.cpp
@@ -142,6 +142,15 @@
     m_budget_exhausted_at[service] = now;
 }
 
+void owner_ranking::record_joined(const std::string& address)
+{
+    const auto found = m_views.find(address);
+    if (found != m_views.end()) {
+        found->second.health.accepts_requests = true;
+        found->second.health.accepts_only_retryable = false;
+    }
+}
+
 void owner_ranking::record_unreachable(const std::string& address, steady_time now)
 {
     auto& view = m_views[address];
--- a/src/load/owner_ranking.h
+++ b/src/load/owner_ranking.h
@@ -102,6 +102,11 @@
     /// @param now the current time.
     void record_budget_exhausted(const std::string& service, steady_time now);
 
+    /// Records that an owner has announced an upstream that accepts requests. What it refused
+    /// before, while it stopped or had no upstream, no longer counts.
+    /// @param address the owner's address.
+    void record_joined(const std::string& address);
+
     /// Records that an owner could not be reached. It is avoided for a time that grows with each
     /// failure.
     void record_unreachable(const std::string& address, steady_time now);
--- a/src/load/stop_window.cpp
+++ b/src/load/stop_window.cpp
@@ -6,6 +6,14 @@
 
 using namespace std::chrono_literals;
 
+namespace {
+
+// Time in which most requests end. One that the exit cuts off costs a retry; an upstream whose
+// owner refuses everything for longer than this is without work until the next start of its owner.
+constexpr auto retryable_run_time = 1500ms;
+
+} // namespace
+
 void stop_window::begin(steady_time clients_notified_at, steady_time exits_at)
 {
     m_clients_notified_at = clients_notified_at;
@@ -19,8 +27,13 @@
 
 bool stop_window::may_start_owned(steady_time deadline, bool can_retry, steady_time now) const
 {
-    const bool is_early = now < m_clients_notified_at;
-    return !m_exits_at || deadline <= *m_exits_at || (can_retry && is_early);
+    const bool ends_in_time = !m_exits_at || deadline <= *m_exits_at;
+    return ends_in_time || (can_retry && now < starts_retryable_until());
+}
+
+steady_time stop_window::starts_retryable_until() const
+{
+    return m_exits_at ? *m_exits_at - retryable_run_time : steady_time();
 }
 
 std::chrono::milliseconds stop_window::time_until_exit(steady_time now) const
--- a/src/load/stop_window.h
+++ b/src/load/stop_window.h
@@ -32,9 +32,14 @@
     /// @param can_retry true if its entry may send it to another owner after the exit has cut it
     /// off.
     /// @param now the current time.
-    /// @return true if the request may start.
+    /// @return true if the request may start: it ends before the exit, or can be retried and most
+    /// likely does.
     bool may_start_owned(steady_time deadline, bool can_retry, steady_time now) const;
 
+    /// @return the time until which requests that can be retried are started; before begin() the
+    /// start of the clock.
+    steady_time starts_retryable_until() const;
+
     /// @param now the current time.
     /// @return the time until the exit; 0 before begin() and after the exit.
     std::chrono::milliseconds time_until_exit(steady_time now) const;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -258,6 +258,9 @@
             continue;
         }
         if (m_context.directory.merge(record)) {
+            if (record.state == announced_state::ready) {
+                m_context.ranking.record_joined(record.address);
+            }
             m_dependencies.log.note("owner_record", {},
                                     {{"owner", record.address},
                                      {"upstream", record.upstream_id},
@@ -435,6 +438,10 @@
                                    {"born_ms", std::to_string(latest.start_time_ms)}});
     const auto before = m_published.revision;
     publish();
+    if (change == lifecycle_change::joined && m_context.owned.accepts_requests()) {
+        // Peers still hold what this daemon refused before it had an upstream.
+        on_health_reported(m_settings.location.address, owner_response_builder::health(m_context));
+    }
     const bool is_leaving =
         change == lifecycle_change::draining || change == lifecycle_change::left;
     if (!is_leaving || m_published.revision == before) {
@@ -539,11 +546,11 @@
     m_is_stopping = true;
     m_on_stopped = std::move(on_stopped);
     m_stopping_since = m_context.now();
-    m_context.owned.stop(m_stopping_since + min_stop_time);
-    on_health_reported(m_settings.location.address, owner_response_builder::health(m_context));
     m_dependencies.loop.after(closing_delay, [this] { m_entry_server.start_closing(); });
     m_context.stopping.begin(m_stopping_since + min_stop_time,
                              m_stopping_since + m_settings.stop_time);
+    m_context.owned.stop(m_context.stopping.starts_retryable_until());
+    on_health_reported(m_settings.location.address, owner_response_builder::health(m_context));
     m_dependencies.log.note_state("stopping",
                                   {{"entry_requests", std::to_string(m_entry_requests.size())},
                                    {"owner_requests", std::to_string(m_owned_requests.size())}});
--- a/src/tests/owner_ranking_test.cpp
+++ b/src/tests/owner_ranking_test.cpp
@@ -151,6 +151,19 @@
     CHECK(setup.choose(small_payload_bytes) == "near");
 }
 
+TEST_CASE("owner_ranking: an owner that announces an upstream is asked at once", "[relay]")
+{
+    // Guards against a belief that outlives the stop it was drawn from (issue 48): a fifth of the
+    // entries took a restarted owner for a leaving one, for up to 1.5 s after it had its upstream.
+    fixture setup;
+    setup.ranking.record_relayed_health("near", {0, 0, false}, setup.time.steady_now());
+    setup.ranking.record_joined("near");
+    CHECK(setup.choose(small_payload_bytes) == "near");
+    setup.ranking.record_relayed_health("near", {0, 0, true, 0ms, true}, setup.time.steady_now());
+    setup.ranking.record_joined("near");
+    CHECK(setup.choose(small_payload_bytes) == "near");
+}
+
 TEST_CASE("owner_ranking: an owner that is stopping is asked for requests that can be retried",
           "[relay]")
 {
--- a/src/tests/stop_window_test.cpp
+++ b/src/tests/stop_window_test.cpp
@@ -22,7 +22,7 @@
         RC_ASSERT(window.accepts_request(deadline, now) == (ends_in_time || is_early));
         const bool can_retry = *rc::gen::arbitrary<bool>();
         RC_ASSERT(window.may_start_owned(deadline, can_retry, now) ==
-                  (ends_in_time || (is_early && can_retry)));
+                  (ends_in_time || (can_retry && now < stopped_at + exit - 1500ms)));
         RC_ASSERT(window.time_until_exit(now) == std::max(stopped_at + exit - now, 0ns));
     }));
 }
