--- a/src/load/owner_ranking.h
+++ b/src/load/owner_ranking.h
@@ -28,6 +28,8 @@
     /// Time since the latest outcome that gave evidence about the upstream; nothing if the owner
     /// did not report it. A refusal reports health without a new outcome.
     std::optional<std::chrono::milliseconds> last_outcome_age = std::nullopt;
+    /// True while the owner refuses requests that cannot be retried because it is stopping.
+    bool accepts_only_retryable = false;
 };
 
 /// Thresholds above which an owner refuses a request.
@@ -100,13 +102,21 @@
     /// @param now the current time.
     void record_budget_exhausted(const std::string& service, steady_time now);
 
+    /// Records that an owner has announced an upstream that accepts requests. What it refused
+    /// before, while it stopped or had no upstream, no longer counts.
+    /// @param address the owner's address.
+    void record_joined(const std::string& address);
+
     /// Records that an owner could not be reached. It is avoided for a time that grows with each
     /// failure.
     void record_unreachable(const std::string& address, steady_time now);
 
     /// @param address the owner's address.
     /// @return false while the owner is avoided because it was unreachable or is leaving.
-    bool is_reachable(const std::string& address, steady_time now) const;
+    bool is_reachable(const std::string& address, steady_time now) const
+    {
+        return is_available(address, false, now);
+    }
 
 private:
     struct owner_view {
@@ -120,6 +130,10 @@
         int failed_connections = 0;
     };
 
+    /// @return is_reachable(), but true for an owner that is stopping if it accepts requests that
+    /// can be retried and this one can.
+    bool is_available(const std::string& address, bool may_retry, steady_time now) const;
+
     double cost(const owner_record& record, const owner_requirements& requirements,
                 steady_time now);
     const owner_view* reported_view(const std::string& address) const;
