Report no health of an upstream that has just joined

The first estimate of an upstream is the prior of 0.3, so that entries preferred owners without a report (0.1) to one that had just joined: 'relay_node: an endless response is aborted and never appears complete' and 'health_report_exchange: relays reports of owners ...' failed.

--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -438,10 +438,6 @@
                                    {"born_ms", std::to_string(latest.start_time_ms)}});
     const auto before = m_published.revision;
     publish();
-    if (change == lifecycle_change::joined && m_context.owned.accepts_requests()) {
-        // Peers still hold what this daemon refused before it had an upstream.
-        on_health_reported(m_settings.location.address, owner_response_builder::health(m_context));
-    }
     const bool is_leaving =
         change == lifecycle_change::draining || change == lifecycle_change::left;
     if (!is_leaving || m_published.revision == before) {
