--- a/src/load/owned_upstream.h
+++ b/src/load/owned_upstream.h
@@ -82,9 +82,9 @@
     /// Called when the state that an earlier start announced is known.
     void finish_restore() { m_lifecycle.finish_restore(); }
 
-    /// Called when the daemon begins to shut down. From here on only requests that can be retried
-    /// are accepted, and none any more once that has ended. An upstream whose owner refused all of
-    /// them during its whole stop would get no request for about five seconds.
+    /// Called when the daemon begins to shut down. Until the given time only requests that can be
+    /// retried are accepted. Without them, an upstream would get no request for about five seconds
+    /// while its daemon is restarted.
     /// @param accepts_until time from which all requests are refused.
     void stop(steady_time accepts_until) { m_accepts_until = accepts_until; }
 
