Hold routes in less memory and apply pages of plans as they arrive

With 80,000 routes (48.7 MB) and 200,000 accounts (17.1 MB) the plan exceeds the 64 MB that daemons have for control. A daemon that starts also held all pages of a plan decoded before it applied them in one turn of the event loop, and the sender kept every encoded page.

--- a/src/experiment/plan_capacity.cpp
+++ b/src/experiment/plan_capacity.cpp
@@ -18,20 +18,19 @@
 
 /// One line of the output: what a daemon holds and spends for a plan of one size.
 struct plan_sample {
-    int size = 0;                  ///< Number of routes or client accounts.
-    std::size_t held_bytes = 0;    ///< Memory of the plan in force.
-    std::size_t whole_bytes = 0;   ///< All pages of the whole plan.
-    std::size_t pages = 0;         ///< Of the whole plan.
-    std::size_t largest_page = 0;  ///< In bytes.
-    double encode_whole_ms = 0;    ///< At the daemon that sends it.
-    double apply_whole_ms = 0;     ///< At the daemon that gets it.
-    std::size_t source_bytes = 0;  ///< Memory of the sender of the whole plan, beside the plan.
-    std::size_t fetched_bytes = 0; ///< Memory of the receiver before it applies the whole plan.
-    double difference_ms = 0;      ///< At the daemon that reads the next plan from the store.
-    std::size_t change_bytes = 0;  ///< Of one changed route or account.
-    double encode_change_ms = 0;   ///< At the daemon that sends it.
-    double apply_change_ms = 0;    ///< At the daemon that gets it.
-    double lookup_ns = 0;          ///< Of the route or account of one request.
+    int size = 0;                 ///< Number of routes or client accounts.
+    std::size_t held_bytes = 0;   ///< Memory of the plan in force.
+    std::size_t whole_bytes = 0;  ///< All pages of the whole plan.
+    std::size_t pages = 0;        ///< Of the whole plan.
+    std::size_t largest_page = 0; ///< In bytes.
+    double encode_whole_ms = 0;   ///< At the daemon that sends it.
+    double apply_whole_ms = 0;    ///< At the daemon that gets it.
+    std::size_t source_bytes = 0; ///< Memory of the sender of the whole plan, beside the plan.
+    double difference_ms = 0;     ///< At the daemon that reads the next plan from the store.
+    std::size_t change_bytes = 0; ///< Of one changed route or account.
+    double encode_change_ms = 0;  ///< At the daemon that sends it.
+    double apply_change_ms = 0;   ///< At the daemon that gets it.
+    double lookup_ns = 0;         ///< Of the route or account of one request.
 };
 
 // Names that differ as random ones do, since similar names would compress better.
@@ -81,10 +80,9 @@
     return plan;
 }
 
-/// The pages of a change, and the change put together from them.
+/// The pages of a change.
 struct sent_change {
     std::vector<std::string> pages;
-    plan_change change;
 
     std::size_t bytes() const
     {
@@ -101,7 +99,7 @@
     sent_change sent;
     std::string position;
     do {
-        const auto& page = source.page(position).text();
+        const std::string page(source.page(position).text());
         sent.pages.push_back(page);
         position = plan_page_codec::decode_page(page)->next_position;
     } while (!position.empty());
@@ -123,17 +121,24 @@
     return heap_in_use() - before;
 }
 
-void decode_change(sent_change& sent)
+/// Makes the next plan of a daemon from pages.
+/// @return the time that it took without decoding the pages, in milliseconds.
+double apply_pages(const std::vector<std::string>& pages, plan_replica& receiver)
 {
-    for (const auto& each : sent.pages) {
-        auto page = *plan_page_codec::decode_page(each);
-        if (sent.change.version == 0) {
-            sent.change = std::move(page.part);
-        }
-        else {
-            sent.change.append(std::move(page.part));
-        }
+    staged_plan staged;
+    double time_ms = 0;
+    for (const auto& each : pages) {
+        const auto page = *plan_page_codec::decode_page(each);
+        time_ms += milliseconds_of([&] {
+            if (staged.version() == 0) {
+                staged = staged_plan(receiver.in_force().get(), page.part);
+            }
+            else {
+                staged.add(page.part);
+            }
+        });
     }
+    return time_ms + milliseconds_of([&] { receiver.apply(staged); });
 }
 
 /// @param size number of routes or accounts.
@@ -156,19 +161,15 @@
     }
     sample.source_bytes = source_bytes_of(sender);
     plan_replica receiver;
-    const auto before_fetch = heap_in_use();
-    decode_change(whole);
-    sample.fetched_bytes = heap_in_use() - before_fetch;
     const auto before = heap_in_use();
-    sample.apply_whole_ms = milliseconds_of([&] { receiver.apply(whole.change); });
+    sample.apply_whole_ms = apply_pages(whole.pages, receiver);
     sample.held_bytes = heap_in_use() - before;
 
     sample.difference_ms = milliseconds_of([&] { sender.replace(next); });
     sent_change changed;
     sample.encode_change_ms = milliseconds_of([&] { changed = encode_change(sender, 1); });
     sample.change_bytes = changed.bytes();
-    decode_change(changed);
-    sample.apply_change_ms = milliseconds_of([&] { receiver.apply(changed.change); });
+    sample.apply_change_ms = apply_pages(changed.pages, receiver);
 
     const double lookup_ms = milliseconds_of([&] {
         for (int probe = 0; probe < probes; ++probe) {
@@ -206,8 +207,7 @@
            << sample.pages << ',' << sample.largest_page << ',' << sample.encode_whole_ms << ','
            << sample.apply_whole_ms << ',' << sample.change_bytes << ',' << sample.encode_change_ms
            << ',' << sample.apply_change_ms << ',' << sample.lookup_ns << ','
-           << sample.difference_ms << ',' << sample.source_bytes << ',' << sample.fetched_bytes
-           << '\n';
+           << sample.difference_ms << ',' << sample.source_bytes << '\n';
 }
 
 } // namespace
@@ -235,7 +235,7 @@
     const auto print_columns = [&](const char* first, const char* lookup) {
         output << first << ",held_bytes,whole_bytes,pages,largest_page_bytes,encode_whole_ms,"
                << "apply_whole_ms,change_bytes,encode_change_ms,apply_change_ms," << lookup
-               << ",difference_ms,source_bytes,fetched_bytes\n";
+               << ",difference_ms,source_bytes\n";
     };
     if (arguments.count("accounts") > 0) {
         print_columns("accounts", "identify_ns");
--- a/src/fleet/plan_change.cpp
+++ b/src/fleet/plan_change.cpp
@@ -1,27 +1,32 @@
 #include "fleet/plan_change.h"
 
-#include <iterator>
-
 namespace galenaroad {
 
-namespace {
-
-template <typename Part>
-void move_to(std::vector<Part>& to, std::vector<Part>& from)
-{
-    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
-}
-
-} // namespace
-
-void plan_change::append(plan_change next)
+std::vector<plan_part> parts_of(const plan_change& change)
 {
-    move_to(routes, next.routes);
-    move_to(removed_routes, next.removed_routes);
-    services.merge(next.services);
-    move_to(removed_services, next.removed_services);
-    move_to(accounts, next.accounts);
-    move_to(removed_accounts, next.removed_accounts);
+    std::vector<plan_part> parts;
+    const auto add = [&](plan_part::kind type, const std::string& name) {
+        parts.push_back({type, name});
+    };
+    for (const auto& rule : change.routes) {
+        add(plan_part::kind::route, rule.name);
+    }
+    for (const auto& name : change.removed_routes) {
+        add(plan_part::kind::route, name);
+    }
+    for (const auto& [name, rule] : change.services) {
+        add(plan_part::kind::service, name);
+    }
+    for (const auto& name : change.removed_services) {
+        add(plan_part::kind::service, name);
+    }
+    for (const auto& account : change.accounts) {
+        add(plan_part::kind::account, account.name);
+    }
+    for (const auto& name : change.removed_accounts) {
+        add(plan_part::kind::account, name);
+    }
+    return parts;
 }
 
 } // namespace galenaroad
--- a/src/fleet/plan_change.h
+++ b/src/fleet/plan_change.h
@@ -32,10 +32,6 @@
     std::vector<std::string> removed_services;
     std::vector<client_account> accounts; ///< Added or changed.
     std::vector<std::string> removed_accounts;
-
-    /// Adds the parts of the next page of the same change.
-    /// @param next the page's parts.
-    void append(plan_change next);
 };
 
 /// Name of a route, service or client account of a plan.
@@ -46,6 +42,9 @@
     std::string name;
 };
 
+/// @return names of all parts of a change.
+std::vector<plan_part> parts_of(const plan_change& change);
+
 inline bool operator<(const plan_part& a, const plan_part& b)
 {
     return std::tie(a.type, a.name) < std::tie(b.type, b.name);
--- a/src/fleet/plan_index.cpp
+++ b/src/fleet/plan_index.cpp
@@ -2,18 +2,12 @@
 
 #include "fleet/plan_digest.h"
 
-#include <Poco/String.h>
 #include <unordered_set>
 
 namespace galenaroad {
 
 namespace {
 
-std::string host_without_port(std::string_view host)
-{
-    return Poco::toLower(std::string(host.substr(0, host.find(':'))));
-}
-
 plan_properties properties_of(const routing_plan& plan)
 {
     plan_properties properties;
@@ -48,31 +42,37 @@
 plan_index plan_index::with(const plan_change& change) const
 {
     auto next = change.base_version == 0 ? plan_index() : *this;
-    next.m_version = change.version;
-    next.m_properties = change.properties;
+    next.apply(change);
+    return next;
+}
+
+void plan_index::apply(const plan_change& change)
+{
+    m_version = change.version;
+    m_properties = change.properties;
     for (const auto& name : change.removed_routes) {
-        next.remove(name);
+        remove(name);
     }
     for (const auto& rule : change.routes) {
-        next.add(rule);
+        add(rule);
     }
     for (const auto& name : change.removed_accounts) {
-        next.m_accounts.erase(name);
+        m_accounts.erase(name);
     }
     for (const auto& account : change.accounts) {
-        next.m_accounts.set(account);
+        m_accounts.set(account);
     }
-    if (!change.services.empty() || !change.removed_services.empty()) {
-        auto services = *next.m_services;
-        for (const auto& name : change.removed_services) {
-            services.erase(name);
-        }
-        for (const auto& [name, rule] : change.services) {
-            services[name] = rule;
-        }
-        next.set_services(std::move(services));
+    if (change.services.empty() && change.removed_services.empty()) {
+        return;
     }
-    return next;
+    auto services = *m_services;
+    for (const auto& name : change.removed_services) {
+        services.erase(name);
+    }
+    for (const auto& [name, rule] : change.services) {
+        services[name] = rule;
+    }
+    set_services(std::move(services));
 }
 
 void plan_index::add(const route_rule& rule)
@@ -80,13 +80,9 @@
     remove(rule.name);
     auto added = std::make_shared<indexed_route>();
     added->rule = rule;
-    added->address = Poco::toLower(rule.host) + rule.prefix;
     added->digest = plan_digest::of(rule);
     m_routes_digest += added->digest;
-    const auto* const other = m_addresses.find(added->address);
-    if (other == nullptr || other->rule.name < rule.name) {
-        m_addresses.set(added->address, added);
-    }
+    m_addresses.add(added->rule);
     m_routes.set(added->rule.name, added);
 }
 
@@ -97,33 +93,8 @@
         return;
     }
     m_routes_digest -= held->digest;
-    const auto address = held->address;
-    const auto* const at_address = m_addresses.find(address);
-    const bool is_used = at_address != nullptr && at_address->rule.name == name;
-    const bool has_unused = m_routes.size() > m_addresses.size();
+    m_addresses.remove(held->rule);
     m_routes.erase(name);
-    if (is_used) {
-        m_addresses.erase(address);
-    }
-    if (is_used && has_unused) {
-        replace_at(address);
-    }
-}
-
-// Uses another route with the same address, if there is one. Such routes are a mistake of the
-// operators and rare, so they are searched for rather than indexed.
-void plan_index::replace_at(const std::string& address)
-{
-    const indexed_route* heir = nullptr;
-    m_routes.for_each([&](const indexed_route& each) {
-        if (each.address == address && (heir == nullptr || heir->rule.name < each.rule.name)) {
-            heir = &each;
-        }
-    });
-    if (heir != nullptr) {
-        auto used = std::make_shared<indexed_route>(*heir);
-        m_addresses.set(used->address, used);
-    }
 }
 
 void plan_index::set_services(service_map services)
@@ -213,20 +184,14 @@
 
 const route_rule* plan_index::match(std::string_view host, std::string_view target) const
 {
-    auto address = host_without_port(host);
-    const auto host_size = address.size();
-    address += target.substr(0, target.find('?'));
+    const auto name = host.substr(0, host.find(':'));
+    auto path = target.substr(0, target.find('?'));
     // Prefixes end with a slash, so only the parts of the path up to a slash are looked up.
-    while (address.size() > host_size) {
-        const auto slash = address.rfind('/');
-        if (slash == std::string::npos || slash < host_size) {
-            return nullptr;
-        }
-        address.resize(slash + 1);
-        if (const auto* const found = m_addresses.find(address)) {
-            return &found->rule;
+    for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/')) {
+        if (const auto* const found = m_addresses.find(name, path.substr(0, slash + 1))) {
+            return found;
         }
-        address.resize(slash);
+        path = path.substr(0, slash);
     }
     return nullptr;
 }
--- a/src/fleet/plan_index.h
+++ b/src/fleet/plan_index.h
@@ -3,6 +3,7 @@
 #include "fleet/account_index.h"
 #include "fleet/persistent_map.h"
 #include "fleet/plan_change.h"
+#include "fleet/route_addresses.h"
 #include "fleet/routing_plan.h"
 
 #include <cstdint>
@@ -28,6 +29,10 @@
     /// @return the next version. Its digest tells whether the change fits this plan.
     plan_index with(const plan_change& change) const;
 
+    /// Makes this version the one that results from a change, or from a page of it.
+    /// @param change the change; see with(), but its base version does not matter.
+    void apply(const plan_change& change);
+
     /// Finds the route with the longest prefix that the path starts with.
     /// @param host the host, with or without a port.
     /// @param target path and query.
@@ -89,10 +94,8 @@
 private:
     using service_map = std::map<std::string, service_rule>;
 
-    /// A route with what its lookup needs.
     struct indexed_route {
         route_rule rule;
-        std::string address; ///< Host in lower case and prefix; the prefix begins with a slash.
         std::uint64_t digest = 0;
     };
 
@@ -100,14 +103,12 @@
     void add_removed_routes(const std::vector<route_rule>& kept, plan_change& change) const;
     void add(const route_rule& rule);
     void remove(const std::string& name);
-    void replace_at(const std::string& address);
     void set_services(service_map services);
 
     std::uint64_t m_version = 0;
     plan_properties m_properties;
     persistent_map<indexed_route> m_routes; ///< By name.
-    /// By address. Of several routes with one address, the one with the greatest name.
-    persistent_map<indexed_route> m_addresses;
+    route_addresses m_addresses;            ///< Of the routes in m_routes.
     std::shared_ptr<const service_map> m_services = std::make_shared<service_map>();
     account_index m_accounts;
     std::uint64_t m_routes_digest = 0;
--- a/src/fleet/plan_replica.cpp
+++ b/src/fleet/plan_replica.cpp
@@ -21,53 +21,40 @@
 {
     const auto& earlier = m_plan ? *m_plan : empty_plan();
     const auto change = earlier.difference_to(plan);
-    put_in_force(earlier.with(change), change);
+    const bool is_whole = change.base_version == 0;
+    put_in_force(earlier.with(change), is_whole, parts_of(change));
 }
 
 bool plan_replica::apply(const plan_change& change)
 {
-    const bool is_whole = change.base_version == 0;
-    if (change.version <= version() || (!is_whole && change.base_version != version())) {
-        return false;
-    }
-    const auto& earlier = m_plan ? *m_plan : empty_plan();
-    auto next = earlier.with(change);
-    if (next.digest() != change.digest) {
+    return can_apply(change.base_version, change.version) &&
+           apply(staged_plan(m_plan.get(), change));
+}
+
+bool plan_replica::apply(const staged_plan& staged)
+{
+    if (!can_apply(staged.base_version(), staged.version()) || !staged.is_complete()) {
         return false;
     }
-    put_in_force(std::move(next), change);
+    put_in_force(staged.plan(), staged.base_version() == 0, staged.changed_parts());
     return true;
 }
 
-void plan_replica::put_in_force(plan_index next, const plan_change& change)
+bool plan_replica::can_apply(std::uint64_t base_version, std::uint64_t next_version) const
+{
+    return next_version > version() && (base_version == 0 || base_version == version());
+}
+
+void plan_replica::put_in_force(plan_index next, bool is_whole, const std::vector<plan_part>& parts)
 {
-    const bool is_whole = change.base_version == 0;
     m_plan = std::make_shared<const plan_index>(std::move(next));
     if (is_whole) {
         m_log.clear();
         m_log_start = version();
         return;
     }
-    const auto note = [this](plan_part::kind type, const std::string& name) {
-        m_log.push_back({version(), {type, name}});
-    };
-    for (const auto& rule : change.routes) {
-        note(plan_part::kind::route, rule.name);
-    }
-    for (const auto& name : change.removed_routes) {
-        note(plan_part::kind::route, name);
-    }
-    for (const auto& [name, rule] : change.services) {
-        note(plan_part::kind::service, name);
-    }
-    for (const auto& name : change.removed_services) {
-        note(plan_part::kind::service, name);
-    }
-    for (const auto& account : change.accounts) {
-        note(plan_part::kind::account, account.name);
-    }
-    for (const auto& name : change.removed_accounts) {
-        note(plan_part::kind::account, name);
+    for (const auto& part : parts) {
+        m_log.push_back({version(), part});
     }
     trim_log();
 }
--- a/src/fleet/plan_replica.h
+++ b/src/fleet/plan_replica.h
@@ -2,6 +2,7 @@
 
 #include "fleet/plan_change.h"
 #include "fleet/plan_index.h"
+#include "fleet/staged_plan.h"
 
 #include <cstdint>
 #include <deque>
@@ -31,6 +32,11 @@
     /// other contents than those of its sender; nothing has changed then.
     bool apply(const plan_change& change);
 
+    /// Puts a plan in force that was made from the pages of a change.
+    /// @param staged the plan with all pages.
+    /// @return as for a change.
+    bool apply(const staged_plan& staged);
+
     /// @return true when the log reaches back to an earlier version.
     bool knows_changes_since(std::uint64_t earlier) const
     {
@@ -49,7 +55,8 @@
         plan_part part;
     };
 
-    void put_in_force(plan_index next, const plan_change& change);
+    bool can_apply(std::uint64_t base_version, std::uint64_t next_version) const;
+    void put_in_force(plan_index next, bool is_whole, const std::vector<plan_part>& parts);
     void trim_log();
 
     std::shared_ptr<const plan_index> m_plan;
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -50,7 +50,7 @@
           [this](const auto& peer) { on_unreachable(peer); }),
       m_fetcher(
           context,
-          {[this](const auto& change, const auto& peer) { return m_hooks.change(change, peer); },
+          {[this](const auto& staged, const auto& peer) { return m_hooks.change(staged, peer); },
            [this](const auto& peer) { on_unreachable(peer); }},
           random_engine(m_random())),
       m_plan_server(context, link_rate),
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -30,7 +30,7 @@
     /// Callbacks for decisions and for what peers report, and access to the daemon's state.
     struct hooks {
         /// A peer has sent a change of the plan; see plan_fetcher.
-        std::function<bool(const plan_change& change, const std::string& peer)> change;
+        std::function<bool(const staged_plan& staged, const std::string& peer)> change;
         std::function<void(const std::vector<owner_record>&)> owners;
         std::function<void()> owners_complete; ///< A peer that knows all owners has sent them.
         std::function<void(bool)> watch_store;
--- a/src/relay/plan_change_source.cpp
+++ b/src/relay/plan_change_source.cpp
@@ -79,13 +79,18 @@
     return static_cast<std::size_t>(found - m_parts.begin());
 }
 
-const shared_body& plan_change_source::page(const std::string& position)
+shared_body plan_change_source::page(const std::string& position)
 {
-    const auto [found, is_new] = m_pages.try_emplace(position);
-    if (is_new) {
-        found->second = plan_page_codec::encode(make_page(position));
+    const auto found = std::find_if(m_pages.begin(), m_pages.end(),
+                                    [&](const auto& each) { return each.position == position; });
+    if (found != m_pages.end()) {
+        return found->body;
     }
-    return found->second;
+    m_pages.push_back({position, plan_page_codec::encode(make_page(position))});
+    if (m_pages.size() > max_kept_pages) {
+        m_pages.pop_front();
+    }
+    return m_pages.back().body;
 }
 
 bool plan_change_source::is_last(const std::string& position) const
--- a/src/relay/plan_change_source.h
+++ b/src/relay/plan_change_source.h
@@ -6,7 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,7 +33,7 @@
 
     /// @param position where the page begins; see plan_page.
     /// @return the encoded page.
-    const shared_body& page(const std::string& position);
+    shared_body page(const std::string& position);
 
     /// @return true when the page that begins at a position is the last one.
     bool is_last(const std::string& position) const;
@@ -43,6 +43,15 @@
     // time.
     static constexpr std::size_t parts_per_page = 512;
 
+    // Peers that get a change at the same time are some pages apart. All pages of a plan with
+    // 200,000 accounts would take 9 MB.
+    static constexpr std::size_t max_kept_pages = 32;
+
+    struct encoded_page {
+        std::string position;
+        shared_body body;
+    };
+
     static std::string position_of(const plan_part& part);
     std::size_t index_of(const std::string& position) const;
     plan_page make_page(const std::string& position) const;
@@ -50,8 +59,8 @@
 
     std::uint64_t m_base_version;
     std::shared_ptr<const plan_index> m_plan;
-    std::vector<plan_part> m_parts;             ///< In order.
-    std::map<std::string, shared_body> m_pages; ///< Encoded ones, by their position.
+    std::vector<plan_part> m_parts;   ///< In order.
+    std::deque<encoded_page> m_pages; ///< The latest ones.
 };
 
 } // namespace galenaroad
--- a/src/relay/plan_fetcher.cpp
+++ b/src/relay/plan_fetcher.cpp
@@ -63,7 +63,7 @@
 
 void plan_fetcher::on_plan_changed()
 {
-    if (m_change.version > 0 && m_change.version <= known_version()) {
+    if (m_change.version() > 0 && m_change.version() <= known_version()) {
         reset_change();
     }
 }
@@ -178,10 +178,10 @@
 void plan_fetcher::send(holder& chosen)
 {
     plan_page_request request;
-    const bool is_first = m_change.version == 0;
+    const bool is_first = m_change.version() == 0;
     const auto own_version = m_needs_whole ? 0 : m_context.plan_version();
-    request.base_version = is_first ? own_version : m_change.base_version;
-    request.version = m_change.version;
+    request.base_version = is_first ? own_version : m_change.base_version();
+    request.version = m_change.version();
     request.position = m_position;
     request.address = m_context.location.address;
     // A kept connection may have fallen silent, so it is not used a second time.
@@ -227,7 +227,7 @@
         return;
     }
     m_context.metrics.record_plan_page("ok", finished.response_body.size());
-    on_page(std::move(*page), finished.peer);
+    on_page(*page, finished.peer);
 }
 
 void plan_fetcher::on_failed(request_iterator pending)
@@ -264,14 +264,14 @@
     }
 }
 
-void plan_fetcher::on_page(plan_page page, const std::string& peer)
+void plan_fetcher::on_page(const plan_page& page, const std::string& peer)
 {
     const auto base = page.part.base_version;
     const bool is_usable =
         page.part.version > known_version() && (base == 0 || base == m_context.plan_version());
     const bool is_first = page.position.empty();
     const bool begins_change =
-        is_first && (m_change.version == 0 || page.part.version > m_change.version);
+        is_first && (m_change.version() == 0 || page.part.version > m_change.version());
     if (!is_usable || !(begins_change || continues_change(page))) {
         return;
     }
@@ -285,7 +285,7 @@
     }
     m_latest_sender = peer;
     cancel_requests();
-    add_page(std::move(page));
+    add_page(page);
     if (m_position.empty()) {
         finish_change(peer);
     }
@@ -296,39 +296,39 @@
 
 bool plan_fetcher::continues_change(const plan_page& page) const
 {
-    return m_change.version > 0 && page.part.version == m_change.version &&
-           page.part.base_version == m_change.base_version && page.position == m_position;
+    return m_change.version() > 0 && page.part.version == m_change.version() &&
+           page.part.base_version == m_change.base_version() && page.position == m_position;
 }
 
-void plan_fetcher::add_page(plan_page page)
+void plan_fetcher::add_page(const plan_page& page)
 {
-    auto& part = page.part;
-    m_position = std::move(page.next_position);
+    m_position = page.next_position;
     ++m_pages;
-    if (m_change.version == 0) {
-        m_change = std::move(part);
-        return;
+    if (m_change.version() == 0) {
+        m_change = staged_plan(m_context.plans.in_force().get(), page.part);
+    }
+    else {
+        m_change.add(page.part);
     }
-    m_change.append(std::move(part));
 }
 
 void plan_fetcher::finish_change(const std::string& peer)
 {
     const auto change = std::move(m_change);
-    m_context.log.note_state("plan_fetched", {{"version", std::to_string(change.version)},
-                                              {"base", std::to_string(change.base_version)},
+    m_context.log.note_state("plan_fetched", {{"version", std::to_string(change.version())},
+                                              {"base", std::to_string(change.base_version())},
                                               {"peer", peer},
                                               {"pages", std::to_string(m_pages)},
-                                              {"routes", std::to_string(change.routes.size())},
-                                              {"accounts", std::to_string(change.accounts.size())},
+                                              {"routes", std::to_string(change.route_count())},
+                                              {"accounts", std::to_string(change.account_count())},
                                               {"after_ms", ms_text(m_context.now() - m_began_at)}});
     reset_change();
     const bool is_applied = m_hooks.change(change, peer);
-    m_needs_whole = !is_applied && change.base_version > 0;
+    m_needs_whole = !is_applied && change.base_version() > 0;
     if (!is_applied) {
         m_context.log.note_state("plan_change_mismatched",
-                                 {{"version", std::to_string(change.version)},
-                                  {"base", std::to_string(change.base_version)},
+                                 {{"version", std::to_string(change.version())},
+                                  {"base", std::to_string(change.base_version())},
                                   {"peer", peer}});
         if (auto* const held = find_holder(peer)) {
             ++held->attempts;
--- a/src/relay/plan_fetcher.h
+++ b/src/relay/plan_fetcher.h
@@ -26,7 +26,7 @@
     struct hooks {
         /// Puts the version that results from a change in force; returns false when the change
         /// does not lead from the plan in force to what the peer has.
-        std::function<bool(const plan_change& change, const std::string& peer)> change;
+        std::function<bool(const staged_plan& staged, const std::string& peer)> change;
         /// Called with the address of a peer that does not respond.
         std::function<void(const std::string& peer)> unreachable;
     };
@@ -82,9 +82,9 @@
     void on_response(request_iterator pending);
     void on_failed(request_iterator pending);
     void on_refused(const pending_request& finished);
-    void on_page(plan_page page, const std::string& peer);
+    void on_page(const plan_page& page, const std::string& peer);
     bool continues_change(const plan_page& page) const;
-    void add_page(plan_page page);
+    void add_page(const plan_page& page);
     void finish_change(const std::string& peer);
     void cancel_requests();
     void reset_change();
@@ -95,7 +95,7 @@
     std::uint64_t m_wanted_version = 0; ///< The newest reported version.
     std::vector<holder> m_holders;      ///< The most recent ones.
     std::string m_latest_sender;        ///< Peer that has sent the page before.
-    plan_change m_change;               ///< The pages received so far; version 0 without one.
+    staged_plan m_change;               ///< The pages received so far; version 0 without one.
     std::string m_position;             ///< Where the wanted page begins.
     steady_time m_began_at;             ///< When the first page was asked for.
     int m_pages = 0;
--- a/src/relay/plan_updater.cpp
+++ b/src/relay/plan_updater.cpp
@@ -46,13 +46,13 @@
     on_replaced(replaced, "");
 }
 
-bool plan_updater::apply_change(const plan_change& change, const std::string& peer)
+bool plan_updater::apply_change(const staged_plan& staged, const std::string& peer)
 {
     const auto replaced = m_context.plan_version();
-    if (!m_context.plans.apply(change)) {
+    if (!m_context.plans.apply(staged)) {
         return false;
     }
-    m_context.metrics.record_plan_errors(change.properties.error_count);
+    m_context.metrics.record_plan_errors(staged.plan().properties().error_count);
     on_replaced(replaced, peer);
     return true;
 }
--- a/src/relay/plan_updater.h
+++ b/src/relay/plan_updater.h
@@ -33,10 +33,10 @@
     void apply_document(const plan_document& document);
 
     /// Puts the plan that results from a change in force.
-    /// @param change the change.
+    /// @param staged the plan made from the change.
     /// @param peer address of the peer that sent it.
     /// @return false when the change does not fit the plan in force; see plan_replica::apply().
-    bool apply_change(const plan_change& change, const std::string& peer);
+    bool apply_change(const staged_plan& staged, const std::string& peer);
 
 private:
     void record_errors(const routing_plan& plan);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -134,8 +134,8 @@
 peer_sync::hooks relay_node::make_sync_hooks()
 {
     peer_sync::hooks hooks;
-    hooks.change = [this](const auto& change, const auto& peer) {
-        return m_plan_updater.apply_change(change, peer);
+    hooks.change = [this](const auto& staged, const auto& peer) {
+        return m_plan_updater.apply_change(staged, peer);
     };
     hooks.owners = [this](const auto& records) { merge_owners(records); };
     hooks.owners_complete = [this] {
--- a/src/tests/support/change_pages.h
+++ b/src/tests/support/change_pages.h
@@ -13,6 +13,9 @@
 /// version when a page cannot be decoded.
 inline plan_change change_since(const plan_replica& from, std::uint64_t version)
 {
+    const auto append = [](auto& to, const auto& added) {
+        to.insert(to.end(), added.begin(), added.end());
+    };
     plan_change_source source(from, version);
     plan_change change;
     std::string position;
@@ -25,7 +28,11 @@
             change = page->part;
         }
         else {
-            change.append(page->part);
+            append(change.routes, page->part.routes);
+            append(change.removed_routes, page->part.removed_routes);
+            change.services.insert(page->part.services.begin(), page->part.services.end());
+            append(change.accounts, page->part.accounts);
+            append(change.removed_accounts, page->part.removed_accounts);
         }
         position = page->next_position;
     } while (!position.empty());
