Test that one more key is sent to a peer as its account

The test runs a daemon with a store and guards against keys between daemons and against changes that cost the table of accounts.

--- a/src/tests/plan_server_test.cpp
+++ b/src/tests/plan_server_test.cpp
@@ -1,5 +1,6 @@
 #include "relay/plan_server.h"
 
+#include "base/deflate_codec.h"
 #include "support/large_plan_text.h"
 #include "support/store_test_fleet.h"
 
@@ -108,3 +109,37 @@
     CHECK(daemon.request("peer-1", "", 1).status == 204);
     CHECK(daemon.request("peer-1", "", 7).status == 204);
 }
+
+TEST_CASE("plan_server: one more key is sent as its account", "[relay]")
+{
+    // Guards against a change of one key that costs as much as the table of accounts, and against
+    // keys that daemons tell each other.
+    constexpr std::size_t max_page_bytes = 512;
+    constexpr std::size_t max_text_bytes = 10'000;
+    constexpr int accounts = 600;
+    serving_daemon daemon;
+    auto plan = nlohmann::json::parse(large_plan_text(2, serving_daemon::routes));
+    for (int index = 0; index < accounts; ++index) {
+        const auto name = "account-" + std::to_string(index);
+        plan["tenants"][name]["api_keys"] = {"secret-" + name};
+    }
+    daemon.rows.write(wire::operator_table, wire::plan_key, plan.dump());
+    daemon.run_for(2s);
+    REQUIRE(daemon.node->plan_version() == 2);
+    plan["version"] = 3;
+    plan["tenants"]["account-7"]["api_keys"].push_back("secret-more");
+    daemon.rows.write(wire::operator_table, wire::plan_key, plan.dump());
+    daemon.run_for(2s);
+    REQUIRE(daemon.node->plan_version() == 3);
+    const auto received = daemon.request("peer-1", "", 2);
+    REQUIRE(received.status == 200);
+    CHECK(received.body.size() < max_page_bytes);
+    const auto text = deflate_codec::decompress(received.body, max_text_bytes);
+    REQUIRE(text.has_value());
+    CHECK(text->find("secret") == std::string::npos);
+    const auto page = plan_page_codec::decode_page(received.body);
+    REQUIRE(page.has_value());
+    CHECK(page->part.routes.empty());
+    REQUIRE(page->part.accounts.size() == 1);
+    CHECK(page->part.accounts.front().keys.back() == api_key_digest::of("secret-more"));
+}
