--- a/src/tests/account_index_test.cpp
+++ b/src/tests/account_index_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstring>
 #include <map>
 #include <rapidcheck.h>
 
@@ -126,6 +127,43 @@
     CHECK(found == accounts);
 }
 
+TEST_CASE("account_index: accounts beside removed ones stay as they are", "[fleet]")
+{
+    // Guards against removals that damage the accounts that are stored after the removed one.
+    constexpr int accounts = 5000; // Several in each part.
+    account_index index;
+    const auto name_of = [](int number) { return "account-" + std::to_string(number); };
+    for (int number = 0; number < accounts; ++number) {
+        index.set(make_test_account(name_of(number), {name_of(number) + "-key"}));
+    }
+    for (int number = 0; number < accounts; number += 2) {
+        index.erase(name_of(number));
+    }
+    int found = 0;
+    for (int number = 0; number < accounts; ++number) {
+        const auto account = index.find_by_key(api_key_digest::of(name_of(number) + "-key"));
+        CHECK((account != nullptr) == (number % 2 == 1));
+        found += account && account->name == name_of(number) ? 1 : 0;
+    }
+    CHECK(found == accounts / 2);
+    CHECK(index.size() == accounts / 2);
+}
+
+TEST_CASE("account_index: a key that is equal in part identifies nobody", "[fleet]")
+{
+    // Guards against an index of a part of the digest whose result is not compared with the key.
+    constexpr int others = 20'000; // Some of them are in the same part of the index.
+    const auto key = api_key_digest::of("key");
+    account_index index;
+    index.set(make_test_account("a", {"key"}));
+    auto bytes = std::string(key.bytes());
+    for (int other = 0; other < others; ++other) {
+        std::memcpy(bytes.data(), &other, sizeof(other));
+        CHECK(index.find_by_key(api_key_digest::from_bytes(bytes)) == nullptr);
+    }
+    CHECK(index.find_by_key(key) != nullptr);
+}
+
 TEST_CASE("account_index: changes in pages lead to the plan that is read", "[fleet]")
 {
     // Guards against a revoked key that still identifies an account, and against daemons whose
