--- a/src/fleet/route_addresses.cpp
+++ b/src/fleet/route_addresses.cpp
@@ -1,7 +1,6 @@
 #include "fleet/route_addresses.h"
 
 #include <Poco/Ascii.h>
-#include <Poco/String.h>
 #include <algorithm>
 #include <string>
 #include <xxhash.h>
@@ -56,7 +55,11 @@
 
 std::uint32_t route_addresses::hash_of(std::string_view host, std::string_view prefix)
 {
-    auto address = Poco::toLower(std::string(host));
+    std::string address;
+    address.reserve(host.size() + prefix.size());
+    for (const char each : host) {
+        address += static_cast<char>(Poco::Ascii::toLower(each));
+    }
     address += prefix;
     return static_cast<std::uint32_t>(XXH3_64bits(address.data(), address.size()));
 }
