--- a/src/tests/entry_route_test.cpp
+++ b/src/tests/entry_route_test.cpp
@@ -247,3 +247,29 @@
     CHECK(refusals(*fleet.a, "unknown_key") == invented_keys);
     CHECK(fleet.a->metrics.text().find("invented-") == std::string::npos);
 }
+
+TEST_CASE("entry_route: a refused request does not affect the one behind it", "[relay]")
+{
+    // Guards against a chunked body that is read as a request, and against a lost request that the
+    // client has sent before it got the 401.
+    account_test_fleet fleet;
+    fleet.b->announce();
+    const auto channel = byte_channel::connect(fleet.loop, fleet.a->entry_address, 500ms);
+    std::string received;
+    byte_channel::hooks hooks;
+    hooks.received = [&](std::string_view bytes) { received.append(bytes); };
+    hooks.ended = [](channel_end) {};
+    channel->set_hooks(std::move(hooks));
+    const std::string refused = "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-1\r\n"
+                                "Authorization: Bearer unknown\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "18\r\nGET /safe/no HTTP/1.1\r\n\r\n\r\n0\r\n\r\n";
+    const std::string next = "GET /safe/yes HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-2\r\n"
+                             "Authorization: Bearer key-1\r\n\r\n";
+    channel->send(refused + next);
+    fleet.run_for(500ms);
+    CHECK(received.rfind("HTTP/1.1 401 ", 0) == 0);
+    CHECK(received.find("HTTP/1.1 200 ") != std::string::npos);
+    REQUIRE(fleet.b->upstream.requests.size() == 1);
+    CHECK(fleet.b->upstream.requests.front()->head().target == "/safe/yes");
+}
