--- /dev/null
+++ b/src/accounts/quota_holder.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "accounts/holder_ranking.h"
+#include "accounts/quota_message.h"
+#include "accounts/quota_tolerance.h"
+#include "accounts/token_bucket.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace galenaroad {
+
+/// Answers the questions of all daemons for tokens of the accounts that this daemon holds.
+class quota_holder {
+public:
+    struct hooks {
+        /// @return the quota of an account by the plan in force; nothing when it is not known.
+        std::function<std::optional<account_quota>(const std::string& account)> quota;
+        /// Called with a daemon of which it is not known whether it runs.
+        std::function<void(const std::string& address)> find_out_absence;
+    };
+
+    /// @param ranking decides which accounts this daemon holds; must outlive the holder.
+    /// @param tolerance the tolerance of the fleet.
+    quota_holder(holder_ranking& ranking, quota_tolerance tolerance, hooks hooks);
+
+    /// Answers a question. A question that comes again gets the same answer.
+    /// @param sender address of the asking daemon.
+    /// @param question the question.
+    /// @return the answer; nothing when the question is older than one that was answered.
+    std::optional<quota_answer> answer(const std::string& sender, const quota_question& question,
+                                       steady_time now);
+
+    /// @return number of accounts whose state is kept.
+    std::size_t account_count() const { return m_accounts.size(); }
+
+private:
+    /// The latest question of a daemon.
+    struct answered_question {
+        quota_answer answer;
+        steady_time at;
+    };
+
+    struct account_state {
+        token_bucket bucket;
+        steady_time holder_since; ///< The bucket was empty then.
+        token_bucket deputy_bucket;
+        steady_time deputy_since;
+        double announced = 0; ///< Future tokens that refused requests were told to wait for.
+        steady_time used_at;
+        std::map<std::string, answered_question> answered; ///< By daemon.
+    };
+
+    account_state& state_of(const std::string& account, const holder_ranking::authority& authority,
+                            steady_time now);
+    void grant(account_state& state, const account_quota& quota,
+               const holder_ranking::authority& authority, const quota_question& question,
+               quota_answer& answer, steady_time now) const;
+    static std::chrono::milliseconds announce_token(account_state& state,
+                                                    const account_quota& quota);
+    void remove_idle(steady_time now);
+
+    holder_ranking& m_ranking;
+    quota_tolerance m_tolerance;
+    hooks m_hooks;
+    std::map<std::string, account_state> m_accounts;
+    steady_time m_cleaned_at;
+};
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/accounts/quota_message.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace galenaroad {
+
+/// Asks a daemon for tokens of an account. A repeated question has the same number.
+struct quota_question {
+    std::uint32_t session = 0; ///< Differs in each start of the asking daemon.
+    std::uint32_t sequence = 0;
+    std::uint16_t wanted = 0;
+    std::uint16_t returned = 0; ///< Tokens of earlier answers that were not used.
+    std::string account;
+};
+
+/// Who has answered a question.
+enum class quota_authority : std::uint8_t {
+    none,   ///< Not a holder of the account: another daemon is to be asked.
+    deputy, ///< One that may only grant a part of the tolerance, since the holder may exist.
+    full,   ///< The holder.
+};
+
+/// Answer to a question.
+struct quota_answer {
+    std::uint32_t session = 0;
+    std::uint32_t sequence = 0;
+    quota_authority authority = quota_authority::none;
+    std::uint16_t granted = 0;
+    std::uint16_t tokens = 0;                   ///< Left in the bucket.
+    std::chrono::milliseconds retry_after{0};   ///< When there is a token for the next request.
+};
+
+/// Encodes and decodes the messages between daemons on quotas, each for one datagram. Their first
+/// byte differs from that of other datagrams.
+class quota_message_codec {
+public:
+    static constexpr char question_type = 'Q';
+    static constexpr char answer_type = 'A';
+    static constexpr std::size_t max_account_bytes = 255;
+
+    static std::string encode(const quota_question& question);
+    static std::string encode(const quota_answer& answer);
+
+    /// @return the question, or nothing when the bytes are not one.
+    static std::optional<quota_question> decode_question(std::string_view bytes);
+
+    /// @return the answer, or nothing when the bytes are not one.
+    static std::optional<quota_answer> decode_answer(std::string_view bytes);
+};
+
+} // namespace galenaroad
