Separate the members of the holder ranking from the authority of a daemon

Cause: a model of 6,500 daemons does not fit into memory when each of them has its own ranking, and a change of the ranking was found by the size of the directory, which does not tell a removal from an addition.

--- a/src/accounts/quota_client.cpp
+++ b/src/accounts/quota_client.cpp
@@ -34,9 +34,9 @@
 
 } // namespace
 
-quota_client::quota_client(holder_ranking& ranking, quota_tolerance tolerance, random_engine random,
+quota_client::quota_client(holder_members& members, quota_tolerance tolerance, random_engine random,
                            hooks hooks)
-    : m_ranking(ranking),
+    : m_members(members),
       m_tolerance(tolerance),
       m_random(random),
       m_hooks(std::move(hooks)),
@@ -67,7 +67,7 @@
     }
     if (!state.return_at) {
         state.return_at = now + return_delay;
-        m_hooks.schedule(return_delay);
+        schedule(*state.return_at, now);
     }
 }
 
@@ -81,14 +81,14 @@
         ask(account, state, 0, now);
     }
     else if (state.return_at && now >= *state.return_at) {
-        send(account, state, state.returned_to, holder_ranking::max_rank, now);
+        send(account, state, state.returned_to, holder_members::max_rank, now);
     }
 }
 
 void quota_client::ask(const std::string& account, account_state& state, std::size_t first_rank,
                        steady_time now)
 {
-    const auto& holders = m_ranking.ranked(account);
+    const auto& holders = m_members.ranked(account);
     for (auto rank = first_rank; rank < holders.size(); ++rank) {
         if (!is_silent(holders[rank], now)) {
             const auto address = holders[rank];
@@ -123,7 +123,7 @@
         state.return_at.reset();
     }
     m_open[question.sequence] = account;
-    m_hooks.schedule(repeat_interval);
+    schedule(open.next_step_at, now);
     m_hooks.send(address, quota_question(question));
 }
 
@@ -234,12 +234,24 @@
 {
     const auto give_up_at = open.sent_at + quota_shares::max_token_age(m_tolerance);
     open.next_step_at = std::min(now + 2 * repeat_interval, give_up_at);
-    m_hooks.schedule(open.next_step_at - now);
     m_hooks.send(open.address, quota_question(open.question));
 }
 
+void quota_client::schedule(steady_time at, steady_time now)
+{
+    if (m_timer_at && *m_timer_at <= at) {
+        return;
+    }
+    m_timer_at = at;
+    m_hooks.schedule(at - now);
+}
+
 void quota_client::on_timer(steady_time now)
 {
+    if (!m_timer_at || now < *m_timer_at) {
+        return; // A timer that an earlier one has replaced.
+    }
+    m_timer_at.reset();
     for (auto each = m_silent_until.begin(); each != m_silent_until.end();) {
         each = now >= each->second ? m_silent_until.erase(each) : std::next(each);
     }
@@ -256,8 +268,14 @@
         else {
             update(account, state, now);
         }
-        const bool is_idle = !state.open && state.waiting.empty() && !state.return_at &&
-                             now >= state.refused_until;
+        if (state.open) {
+            schedule(state.open->next_step_at, now);
+        }
+        else if (state.return_at) {
+            schedule(*state.return_at, now);
+        }
+        const bool is_idle =
+            !state.open && state.waiting.empty() && !state.return_at && now >= state.refused_until;
         each = is_idle ? m_accounts.erase(each) : std::next(each);
     }
 }
--- a/src/accounts/quota_client.h
+++ b/src/accounts/quota_client.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "accounts/holder_ranking.h"
+#include "accounts/holder_members.h"
 #include "accounts/quota_message.h"
 #include "accounts/quota_tolerance.h"
 #include "base/random_engine.h"
@@ -35,7 +35,7 @@
     struct hooks {
         /// Sends a question to a daemon, which may be this one.
         std::function<void(const std::string& address, const quota_question& question)> send;
-        /// Requests a call of on_timer().
+        /// Requests a call of on_timer(); replaces an earlier request.
         std::function<void(std::chrono::nanoseconds delay)> schedule;
     };
 
@@ -43,10 +43,10 @@
     /// @return whether the request still needs it; a token that is not needed is returned.
     using handler = std::function<bool(const quota_verdict&)>;
 
-    /// @param ranking names the holders; must outlive the client.
+    /// @param members names the holders; must outlive the client.
     /// @param tolerance the tolerance of the fleet.
     /// @param random engine for the session and for the spread of retries.
-    quota_client(holder_ranking& ranking, quota_tolerance tolerance, random_engine random,
+    quota_client(holder_members& members, quota_tolerance tolerance, random_engine random,
                  hooks hooks);
 
     /// Asks for a token.
@@ -98,6 +98,7 @@
               std::size_t rank, steady_time now);
     void apply(const std::string& account, account_state& state, const quota_answer& answer,
                steady_time now);
+    void schedule(steady_time at, steady_time now);
     void repeat(open_question& open, steady_time now);
     void on_silent(const std::string& account, account_state& state, steady_time now);
     void update(const std::string& account, account_state& state, steady_time now);
@@ -107,15 +108,16 @@
     std::chrono::milliseconds spread(std::chrono::milliseconds range);
     bool is_silent(const std::string& address, steady_time now) const;
 
-    holder_ranking& m_ranking;
+    holder_members& m_members;
     quota_tolerance m_tolerance;
     random_engine m_random;
     hooks m_hooks;
     std::uint32_t m_session;
     std::uint32_t m_sequence = 0;
-    std::map<std::string, account_state> m_accounts; ///< Those with something to do.
-    std::map<std::uint32_t, std::string> m_open;     ///< Account by number of its open question.
+    std::map<std::string, account_state> m_accounts;   ///< Those with something to do.
+    std::map<std::uint32_t, std::string> m_open;       ///< Account by number of its open question.
     std::map<std::string, steady_time> m_silent_until; ///< By address.
+    std::optional<steady_time> m_timer_at;             ///< When on_timer() is called next.
 };
 
 } // namespace galenaroad
--- a/src/accounts/quota_holder.cpp
+++ b/src/accounts/quota_holder.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-quota_holder::quota_holder(holder_ranking& ranking, quota_tolerance tolerance, hooks hooks)
-    : m_ranking(ranking), m_tolerance(tolerance), m_hooks(std::move(hooks))
+quota_holder::quota_holder(const holder_authority& authority, quota_tolerance tolerance,
+                           hooks hooks)
+    : m_authority(authority), m_tolerance(tolerance), m_hooks(std::move(hooks))
 {
 }
 
@@ -37,12 +38,11 @@
     result.session = question.session;
     result.sequence = question.sequence;
     const auto quota = m_hooks.quota(question.account);
-    const auto authority =
-        m_ranking.own_authority(question.account, now, m_hooks.find_out_absence);
-    if (!quota || authority.kind == quota_authority::none) {
+    const auto right = m_authority.of(question.account, now, m_hooks.find_out_absence);
+    if (!quota || right.kind == quota_authority::none) {
         return result;
     }
-    auto& state = state_of(question.account, authority, now);
+    auto& state = state_of(question.account, right, now);
     const auto [found, is_new] = state.answered.try_emplace(sender);
     auto& latest = found->second;
     if (!is_new && latest.answer.session == question.session &&
@@ -50,26 +50,26 @@
         const bool is_repeated = question.sequence == latest.answer.sequence;
         return is_repeated ? std::optional(latest.answer) : std::nullopt;
     }
-    result.authority = authority.kind;
-    grant(state, *quota, authority, question, result, now);
+    result.authority = right.kind;
+    grant(state, *quota, right, question, result, now);
     latest = {result, now};
     return result;
 }
 
 quota_holder::account_state& quota_holder::state_of(const std::string& account,
-                                                    const holder_ranking::authority& authority,
+                                                    const holder_authority::right& right,
                                                     steady_time now)
 {
-    const auto since = authority.since;
+    const auto since = right.since;
     const auto [found, is_new] = m_accounts.try_emplace(
         account, account_state{token_bucket(since), since, token_bucket(since), since, 0, now, {}});
     auto& state = found->second;
-    if (authority.kind == quota_authority::full && since > state.holder_since) {
+    if (right.kind == quota_authority::full && since > state.holder_since) {
         // In the meantime another daemon may have been the holder.
         state.bucket = token_bucket(since);
         state.holder_since = since;
     }
-    if (authority.kind == quota_authority::deputy && since > state.deputy_since) {
+    if (right.kind == quota_authority::deputy && since > state.deputy_since) {
         state.deputy_bucket = token_bucket(since);
         state.deputy_since = since;
     }
@@ -77,9 +77,8 @@
 }
 
 void quota_holder::grant(account_state& state, const account_quota& quota,
-                         const holder_ranking::authority& authority,
-                         const quota_question& question, quota_answer& answer,
-                         steady_time now) const
+                         const holder_authority::right& right, const quota_question& question,
+                         quota_answer& answer, steady_time now) const
 {
     const std::chrono::duration<double> elapsed = std::max(now - state.used_at, {});
     state.announced = std::max(state.announced - elapsed.count() * quota.rate, 0.0);
@@ -89,7 +88,7 @@
         answer.tokens = std::numeric_limits<std::uint16_t>::max();
         return;
     }
-    const bool is_holder = authority.kind == quota_authority::full;
+    const bool is_holder = right.kind == quota_authority::full;
     const auto deputy_quota = quota_shares::of_deputy(m_tolerance, quota);
     auto& bucket = is_holder ? state.bucket : state.deputy_bucket;
     bucket.give_back(question.returned);
@@ -97,7 +96,7 @@
     state.deputy_bucket.update(deputy_quota, now);
     int granted = bucket.take(question.wanted);
     // A holder that has just begun with an empty bucket also has the share of a deputy.
-    if (is_holder && now - authority.since < m_tolerance.window) {
+    if (is_holder && now - right.since < m_tolerance.window) {
         granted += state.deputy_bucket.take(question.wanted - granted);
     }
     answer.granted = static_cast<std::uint16_t>(granted);
--- a/src/accounts/quota_holder.h
+++ b/src/accounts/quota_holder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "accounts/holder_ranking.h"
+#include "accounts/holder_authority.h"
 #include "accounts/quota_message.h"
 #include "accounts/quota_tolerance.h"
 #include "accounts/token_bucket.h"
@@ -22,9 +22,9 @@
         std::function<void(const std::string& address)> find_out_absence;
     };
 
-    /// @param ranking decides which accounts this daemon holds; must outlive the holder.
+    /// @param authority decides which accounts this daemon holds; must outlive the holder.
     /// @param tolerance the tolerance of the fleet.
-    quota_holder(holder_ranking& ranking, quota_tolerance tolerance, hooks hooks);
+    quota_holder(const holder_authority& authority, quota_tolerance tolerance, hooks hooks);
 
     /// Answers a question. A question that comes again gets the same answer.
     /// @param sender address of the asking daemon.
@@ -53,16 +53,16 @@
         std::map<std::string, answered_question> answered; ///< By daemon.
     };
 
-    account_state& state_of(const std::string& account, const holder_ranking::authority& authority,
+    account_state& state_of(const std::string& account, const holder_authority::right& right,
                             steady_time now);
     void grant(account_state& state, const account_quota& quota,
-               const holder_ranking::authority& authority, const quota_question& question,
+               const holder_authority::right& right, const quota_question& question,
                quota_answer& answer, steady_time now) const;
     static std::chrono::milliseconds announce_token(account_state& state,
                                                     const account_quota& quota);
     void remove_idle(steady_time now);
 
-    holder_ranking& m_ranking;
+    const holder_authority& m_authority;
     quota_tolerance m_tolerance;
     hooks m_hooks;
     std::map<std::string, account_state> m_accounts;
--- a/src/accounts/quota_message.h
+++ b/src/accounts/quota_message.h
@@ -30,8 +30,8 @@
     std::uint32_t sequence = 0;
     quota_authority authority = quota_authority::none;
     std::uint16_t granted = 0;
-    std::uint16_t tokens = 0;                   ///< Left in the bucket.
-    std::chrono::milliseconds retry_after{0};   ///< When there is a token for the next request.
+    std::uint16_t tokens = 0;                 ///< Left in the bucket.
+    std::chrono::milliseconds retry_after{0}; ///< When there is a token for the next request.
 };
 
 /// Encodes and decodes the messages between daemons on quotas, each for one datagram. Their first
--- a/src/experiment/quota_fleet.cpp
+++ b/src/experiment/quota_fleet.cpp
@@ -50,6 +50,10 @@
     record.revision = ++owner.revision;
     record.state = state;
     m_records[record.address] = record;
+    if (m_settings.shares_members) {
+        m_shared_directory.merge(record);
+        return;
+    }
     for (std::size_t each = 0; each < m_daemons.size(); ++each) {
         if (each == daemon) {
             if (owner.is_running) {
@@ -78,7 +82,7 @@
 {
     auto& state = *m_daemons[daemon];
     state.directory->merge(record);
-    state.ranking->update(*state.directory, true, m_loop.steady_now());
+    state.members->update(*state.directory, true, m_loop.steady_now());
 }
 
 void quota_fleet::start(std::size_t daemon)
@@ -87,15 +91,18 @@
     state.is_running = true;
     ++state.start;
     state.directory = std::make_unique<owner_directory>();
-    state.ranking = std::make_unique<holder_ranking>(state.address);
-    state.quotas = m_quotas;
+    state.members =
+        m_settings.shares_members ? m_shared_members : std::make_shared<holder_members>();
+    state.authority = std::make_unique<holder_authority>(*state.members, state.address);
+    state.quotas = m_settings.shares_members ? decltype(m_quotas)() : m_quotas;
     quota_holder::hooks holder_hooks;
-    holder_hooks.quota = [&state](const auto& account) {
-        const auto found = state.quotas.find(account);
-        return found == state.quotas.end() ? std::nullopt : std::optional(found->second);
+    const auto& quotas = m_settings.shares_members ? m_quotas : state.quotas;
+    holder_hooks.quota = [&quotas](const auto& account) {
+        const auto found = quotas.find(account);
+        return found == quotas.end() ? std::nullopt : std::optional(found->second);
     };
     holder_hooks.find_out_absence = [this, daemon](const auto& address) { probe(daemon, address); };
-    state.holder = std::make_unique<quota_holder>(*state.ranking, m_settings.tolerance,
+    state.holder = std::make_unique<quota_holder>(*state.authority, m_settings.tolerance,
                                                   std::move(holder_hooks));
     quota_client::hooks hooks;
     hooks.send = [this, daemon](const auto& address, const auto& question) {
@@ -105,13 +112,17 @@
         at_daemon(daemon, delay,
                   [this](auto& waking) { waking.client->on_timer(m_loop.steady_now()); });
     };
-    state.client = std::make_unique<quota_client>(*state.ranking, m_settings.tolerance,
+    state.client = std::make_unique<quota_client>(*state.members, m_settings.tolerance,
                                                   random_engine(m_random()), std::move(hooks));
+    if (m_settings.shares_members) {
+        state.members->update(m_shared_directory, true, m_loop.steady_now());
+        return;
+    }
     at_daemon(daemon, random_time(max_start_delay), [this](auto& started) {
         for (const auto& [address, record] : m_records) {
             started.directory->merge(record);
         }
-        started.ranking->update(*started.directory, true, m_loop.steady_now());
+        started.members->update(*started.directory, true, m_loop.steady_now());
     });
 }
 
@@ -134,6 +145,9 @@
 void quota_fleet::set_quota(const std::string& account, const account_quota& quota)
 {
     m_quotas[account] = quota;
+    if (m_settings.shares_members) {
+        return;
+    }
     for (std::size_t each = 0; each < m_daemons.size(); ++each) {
         at_daemon(each, random_time(m_settings.max_record_delay),
                   [account, quota](auto& daemon) { daemon.quotas[account] = quota; });
@@ -181,8 +195,8 @@
     const auto text = quota_message_codec::encode(question);
     transfer(from, to, text.size(), [this, from, to, text](auto& asked) {
         const auto received = quota_message_codec::decode_question(text);
-        const auto answer = asked.holder->answer(m_daemons[from]->address, *received,
-                                                 m_loop.steady_now());
+        const auto answer =
+            asked.holder->answer(m_daemons[from]->address, *received, m_loop.steady_now());
         if (!answer) {
             return;
         }
@@ -208,7 +222,7 @@
             return;
         }
         at_daemon(from, delay_between(from, to),
-                  [address, now](auto& state) { state.ranking->record_absence(address, now); });
+                  [address, now](auto& state) { state.authority->record_absence(address, now); });
     });
 }
 
@@ -240,10 +254,10 @@
     for (const auto& [address, record] : m_records) {
         directory.merge(record);
     }
-    holder_ranking ranking("");
-    ranking.update(directory, true, m_loop.steady_now());
+    holder_members members;
+    members.update(directory, true, m_loop.steady_now());
     std::vector<std::size_t> result;
-    for (const auto& address : ranking.ranked(account)) {
+    for (const auto& address : members.ranked(account)) {
         result.push_back(index_of(address));
     }
     return result;
@@ -262,14 +276,13 @@
         return worst;
     }
     auto runs = found->second;
-    std::sort(runs.begin(), runs.end(),
-              [](const run& a, const run& b) { return a.sent < b.sent; });
+    std::sort(runs.begin(), runs.end(), [](const run& a, const run& b) { return a.sent < b.sent; });
     for (auto first = runs.begin(); first != runs.end(); ++first) {
         const auto end = first->sent + tolerance.window;
-        const auto last = std::find_if(first, runs.end(),
-                                       [end](const run& each) { return each.sent > end; });
-        const auto count = std::count_if(
-            first, last, [end](const run& each) { return each.started <= end; });
+        const auto last =
+            std::find_if(first, runs.end(), [end](const run& each) { return each.sent > end; });
+        const auto count =
+            std::count_if(first, last, [end](const run& each) { return each.started <= end; });
         worst = std::max(worst, static_cast<double>(count) - limit);
     }
     return worst;
--- a/src/experiment/quota_fleet.h
+++ b/src/experiment/quota_fleet.h
@@ -20,6 +20,9 @@
     double loss = 0;                                 ///< Share of messages that are lost.
     std::chrono::milliseconds max_record_delay{300}; ///< Until daemons know of a change.
     quota_tolerance tolerance;
+    /// All daemons have one view of the members and of the quotas, which saves memory while there
+    /// are no changes.
+    bool shares_members = false;
     std::uint64_t seed = 1;
 };
 
@@ -85,7 +88,8 @@
         std::map<std::string, account_quota> quotas;
         std::map<std::string, steady_time> probed_at;
         std::unique_ptr<owner_directory> directory;
-        std::unique_ptr<holder_ranking> ranking;
+        std::shared_ptr<holder_members> members;
+        std::unique_ptr<holder_authority> authority;
         std::unique_ptr<quota_holder> holder;
         std::unique_ptr<quota_client> client;
     };
@@ -109,6 +113,8 @@
     quota_fleet_settings m_settings;
     random_engine m_random;
     std::vector<std::unique_ptr<daemon_state>> m_daemons;
+    owner_directory m_shared_directory;
+    std::shared_ptr<holder_members> m_shared_members = std::make_shared<holder_members>();
     std::map<std::string, owner_record> m_records;
     std::map<std::string, account_quota> m_quotas;
     std::map<std::string, std::size_t> m_indices;
--- a/src/fleet/owner_directory.cpp
+++ b/src/fleet/owner_directory.cpp
@@ -38,6 +38,7 @@
         m_digest ^= hash_of(found->second.record);
         m_changes.erase(found->second.change);
         m_owners.erase(found);
+        ++m_removals;
     }
 }
 
--- a/src/fleet/owner_directory.h
+++ b/src/fleet/owner_directory.h
@@ -37,6 +37,9 @@
     /// @return number of the latest change; changes are numbered from 1 in each directory.
     std::uint64_t latest_change() const { return m_latest_change; }
 
+    /// @return number of owners that were removed so far.
+    std::uint64_t removals() const { return m_removals; }
+
     /// Lists the records that were stored after a change.
     /// @param change number of the change.
     std::vector<owner_record> changed_since(std::uint64_t change) const;
@@ -58,6 +61,7 @@
     /// Address of the changed owner by change number.
     std::map<std::uint64_t, std::string> m_changes;
     std::uint64_t m_latest_change = 0;
+    std::uint64_t m_removals = 0;
     std::uint64_t m_digest = 0;
 };
 
--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -42,8 +42,7 @@
         if (loop.steady_now() > end) {
             return;
         }
-        const auto daemon =
-            std::uniform_int_distribution<std::size_t>(0, fleet.size() - 1)(random);
+        const auto daemon = std::uniform_int_distribution<std::size_t>(0, fleet.size() - 1)(random);
         const bool does_run = std::uniform_real_distribution<>(0, 1)(random) < run_share;
         if (fleet.is_running(daemon)) {
             fleet.request(daemon, account, does_run, [this](const auto& verdict) {
@@ -163,11 +162,11 @@
         const auto load_factor = *rc::gen::element(0.8, 1.5, 6.0);
         const auto loss = *rc::gen::element(0.0, 0.03, 0.3);
         const auto run_share = *rc::gen::element(1.0, 0.6);
-        const auto faults = *rc::gen::container<std::vector<fault>>(
-            rc::gen::build<fault>(rc::gen::set(&fault::kind, rc::gen::inRange(0, 6)),
-                                  rc::gen::set(&fault::daemon, rc::gen::inRange<std::size_t>(0, 40)),
-                                  rc::gen::set(&fault::at_ms, rc::gen::inRange(0, 10000)),
-                                  rc::gen::set(&fault::length_ms, rc::gen::inRange(50, 6000))));
+        const auto faults = *rc::gen::container<std::vector<fault>>(rc::gen::build<fault>(
+            rc::gen::set(&fault::kind, rc::gen::inRange(0, 6)),
+            rc::gen::set(&fault::daemon, rc::gen::inRange<std::size_t>(0, 40)),
+            rc::gen::set(&fault::at_ms, rc::gen::inRange(0, 10000)),
+            rc::gen::set(&fault::length_ms, rc::gen::inRange(50, 6000))));
         test_fleet test({rate, rate}, 12, seed, loss);
         test.load.run_share = run_share;
         for (const auto& each : faults) {
--- /dev/null
+++ b/src/tests/quota_holder_test.cpp
@@ -0,0 +1,120 @@
+#include "accounts/quota_holder.h"
+#include "base/manual_clock.h"
+
+#include <catch2/catch.hpp>
+
+using namespace galenaroad;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr quota_tolerance tolerance{5000ms, 0.1, 20};
+
+/// A holder, first in its ranking, for as long as its bucket needs to fill up.
+struct tested_holder {
+    manual_clock time;
+    owner_directory directory;
+    holder_members members;
+    holder_authority authority{members, "a"};
+    std::optional<account_quota> quota = account_quota{10, 5};
+    std::vector<std::string> doubted;
+    quota_holder holder{authority,
+                        tolerance,
+                        {[this](const auto&) { return quota; },
+                         [this](const auto& address) { doubted.push_back(address); }}};
+
+    tested_holder()
+    {
+        add("a");
+        time.advance(10s);
+    }
+
+    void add(const std::string& address)
+    {
+        owner_record record;
+        record.address = address;
+        record.revision = 1;
+        record.state = announced_state::ready;
+        directory.merge(record);
+        members.update(directory, true, time.steady_now());
+    }
+
+    std::optional<quota_answer> ask(std::uint32_t sequence, std::uint16_t wanted,
+                                    std::uint16_t returned = 0, const std::string& sender = "e")
+    {
+        return holder.answer(sender, {1, sequence, wanted, returned, "acme"}, time.steady_now());
+    }
+};
+
+} // namespace
+
+TEST_CASE("quota_holder: a repeated question gets the same answer", "[quota]")
+{
+    // Guards against a repeated datagram that takes or returns tokens twice.
+    tested_holder test;
+    CHECK(test.ask(1, 2)->granted == 2);
+    CHECK(test.ask(1, 2)->tokens == 3);
+    CHECK(test.ask(2, 0, 1)->tokens == 4);
+    CHECK(test.ask(2, 0, 1)->tokens == 4);
+    CHECK_FALSE(test.ask(1, 2).has_value());
+    CHECK(test.ask(3, 9)->granted == 4);
+}
+
+TEST_CASE("quota_holder: refused requests are told the times of successive tokens", "[quota]")
+{
+    // Guards against retries that all come for the same token.
+    tested_holder test;
+    test.ask(1, 5);
+    CHECK(test.ask(2, 1, 0, "e")->retry_after == 100ms);
+    CHECK(test.ask(2, 1, 0, "f")->retry_after == 200ms);
+    CHECK(test.ask(2, 1, 0, "g")->retry_after == 300ms);
+    test.time.advance(1s);
+    CHECK(test.ask(3, 1)->granted == 1);
+}
+
+TEST_CASE("quota_holder: an account that it does not know is answered by another daemon", "[quota]")
+{
+    // Guards against a holder with an old plan that refuses, or admits, a new account.
+    tested_holder test;
+    test.quota.reset();
+    CHECK(test.ask(1, 1)->authority == quota_authority::none);
+    test.quota = account_quota{};
+    CHECK(test.ask(2, 1000)->granted == 1000);
+}
+
+TEST_CASE("quota_holder: another daemon takes over only after a proof that the first has ended",
+          "[quota]")
+{
+    // Guards against a second holder beside one that is silent.
+    tested_holder test;
+    std::string first;
+    for (int each = 0; first.empty(); ++each) {
+        test.add("b" + std::to_string(each));
+        first =
+            test.members.ranked("acme").front() == "a" ? "" : test.members.ranked("acme").front();
+    }
+    CHECK(test.ask(1, 1)->authority == quota_authority::full);
+    test.time.advance(10s);
+    CHECK(test.ask(2, 1)->authority == quota_authority::deputy);
+    CHECK(test.doubted.back() == first);
+    test.authority.record_absence(first, test.time.steady_now());
+    const auto taken_over = test.ask(3, 50);
+    CHECK(taken_over->authority == quota_authority::full);
+    // Only the share of a deputy, since the bucket is empty.
+    CHECK(taken_over->granted <= 5);
+    test.time.advance(holder_authority::absence_time + 1ms);
+    CHECK(test.ask(4, 1)->authority == quota_authority::deputy);
+}
+
+TEST_CASE("quota_holder: the state of idle accounts is removed", "[quota]")
+{
+    // Guards against memory that grows with all accounts that were ever asked for.
+    tested_holder test;
+    for (std::uint32_t each = 1; each <= 100; ++each) {
+        test.holder.answer("e", {1, each, 1, 0, std::to_string(each)}, test.time.steady_now());
+    }
+    CHECK(test.holder.account_count() == 100);
+    test.time.advance(20s);
+    test.ask(200, 1);
+    CHECK(test.holder.account_count() == 1);
+}
