Exchange quota messages between daemons

Change: one datagram_channel per daemon carries health reports and quota messages, told apart by their first byte; quota_exchange connects it with the decisions, and absence_prober finds out whether a holder's process has ended. The tolerance comes from the settings file. No request asks for tokens yet.

--- a/src/experiment/quota_fleet.cpp
+++ b/src/experiment/quota_fleet.cpp
@@ -218,7 +218,8 @@
     last = now;
     const auto to = index_of(address);
     m_loop.after(delay_between(from, to), [this, from, to, address, now] {
-        if (m_daemons[to]->is_running || !is_reachable(from, to)) {
+        const bool is_cut_off = !is_reachable(from, to);
+        if (is_cut_off ? !m_settings.cuts_refuse : m_daemons[to]->is_running) {
             return;
         }
         at_daemon(from, delay_between(from, to),
--- a/src/experiment/quota_fleet.h
+++ b/src/experiment/quota_fleet.h
@@ -19,6 +19,7 @@
     std::chrono::milliseconds region_delay{12};
     double loss = 0;                                 ///< Share of messages that are lost.
     std::chrono::milliseconds max_record_delay{300}; ///< Until daemons know of a change.
+    bool cuts_refuse = false; ///< Daemons on another side refuse connections.
     quota_tolerance tolerance;
     /// All daemons have one view of the members and of the quotas, which saves memory while there
     /// are no changes.
--- a/src/relay/health_report_exchange.cpp
+++ b/src/relay/health_report_exchange.cpp
@@ -1,11 +1,8 @@
 #include "relay/health_report_exchange.h"
 
-#include "net/ip_endpoint.h"
 #include "relay/health_report_codec.h"
 
-#include <Poco/Net/NetException.h>
 #include <algorithm>
-#include <array>
 
 namespace galenaroad {
 
@@ -19,41 +16,19 @@
 // Receivers of each message. The number is fixed, so that the cost for a daemon does not grow with
 // the data centre.
 constexpr std::size_t max_receivers = 5;
-// Messages read in one event loop callback, so that other events are not delayed.
-constexpr int max_messages_per_wakeup = 16;
 
 } // namespace
 
-health_report_exchange::health_report_exchange(relay_context& context, random_engine random)
-    : m_context(context), m_random(random)
+health_report_exchange::health_report_exchange(relay_context& context, datagram_channel& datagrams,
+                                               random_engine random)
+    : m_context(context), m_datagrams(datagrams), m_random(random)
 {
+    m_datagrams.on_other_message([this](auto bytes, const auto&) { handle_message(bytes); });
 }
 
 health_report_exchange::~health_report_exchange()
 {
     m_context.loop.cancel(m_send_timer);
-    if (m_is_listening) {
-        m_context.loop.unwatch(m_socket);
-    }
-}
-
-void health_report_exchange::start(const std::string& listen_address)
-{
-    const auto address = ip_endpoint::parse(listen_address);
-    if (!address) {
-        return;
-    }
-    try {
-        m_socket.bind(*address);
-        m_socket.setBlocking(false);
-    }
-    catch (const Poco::Exception& error) {
-        m_context.log.note_state("condition_news_off",
-                                 {{"address", listen_address}, {"error", error.displayText()}});
-        return;
-    }
-    m_is_listening = true;
-    m_context.loop.watch(m_socket, socket_interest::read, [this](auto) { receive(); });
 }
 
 void health_report_exchange::record_health(const std::string& owner, const owner_health& health)
@@ -64,7 +39,7 @@
 
 void health_report_exchange::schedule_send()
 {
-    if (!m_is_listening || m_send_timer != event_loop::no_timer) {
+    if (!m_datagrams.is_listening() || m_send_timer != event_loop::no_timer) {
         return;
     }
     m_send_timer = m_context.loop.after(send_interval, [this] {
@@ -81,17 +56,8 @@
     }
     const auto message = health_report_codec::encode(reports);
     for (const auto& receiver : choose_receivers()) {
-        const auto address = ip_endpoint::parse(receiver);
-        if (!address || message.size() > health_report_codec::max_bytes) {
-            continue;
-        }
-        try {
-            m_socket.sendTo(message.data(), static_cast<int>(message.size()), *address);
-            m_context.metrics.record_health_report("sent");
-        }
-        catch (const Poco::Exception&) {
-            m_context.metrics.record_health_report("not_sent");
-        }
+        const bool is_sent = m_datagrams.send(receiver, message);
+        m_context.metrics.record_health_report(is_sent ? "sent" : "not_sent");
     }
     schedule_send();
 }
@@ -112,25 +78,6 @@
     return chosen;
 }
 
-void health_report_exchange::receive()
-{
-    std::array<char, health_report_codec::max_bytes> buffer{};
-    for (int count = 0; count < max_messages_per_wakeup; ++count) {
-        try {
-            Poco::Net::SocketAddress sender;
-            const int size =
-                m_socket.receiveFrom(buffer.data(), static_cast<int>(buffer.size()), sender);
-            if (size <= 0) {
-                return;
-            }
-            handle_message({buffer.data(), static_cast<std::size_t>(size)});
-        }
-        catch (const Poco::Exception&) {
-            return; // No datagram is left to read.
-        }
-    }
-}
-
 void health_report_exchange::handle_message(std::string_view bytes)
 {
     const auto reports = health_report_codec::decode(bytes);
--- a/src/relay/health_report_exchange.h
+++ b/src/relay/health_report_exchange.h
@@ -2,10 +2,9 @@
 
 #include "base/random_engine.h"
 #include "load/health_report_buffer.h"
+#include "relay/datagram_channel.h"
 #include "relay/relay_context.h"
 
-#include <Poco/Net/DatagramSocket.h>
-#include <Poco/Net/SocketAddress.h>
 #include <string>
 #include <vector>
 
@@ -17,34 +16,29 @@
 class health_report_exchange {
 public:
     /// @param context shared state; must outlive the exchange.
+    /// @param datagrams the channel of the messages; must outlive the exchange.
     /// @param random random engine for the choice of receivers.
-    health_report_exchange(relay_context& context, random_engine random);
+    health_report_exchange(relay_context& context, datagram_channel& datagrams,
+                           random_engine random);
     health_report_exchange(const health_report_exchange&) = delete;
     health_report_exchange& operator=(const health_report_exchange&) = delete;
     health_report_exchange(health_report_exchange&&) = delete;
     health_report_exchange& operator=(health_report_exchange&&) = delete;
     ~health_report_exchange();
 
-    /// Starts to listen and to send. When the address is invalid or cannot be bound, reports are
-    /// neither sent nor received.
-    /// @param listen_address IP address and port for datagrams.
-    void start(const std::string& listen_address);
-
     /// Records the health that an owner has reported to this daemon, and schedules its relay.
     void record_health(const std::string& owner, const owner_health& health);
 
 private:
     void schedule_send();
     void send_reports();
-    void receive();
     void handle_message(std::string_view bytes);
     std::vector<std::string> choose_receivers();
 
     relay_context& m_context;
+    datagram_channel& m_datagrams;
     random_engine m_random;
     health_report_buffer m_buffer;
-    Poco::Net::DatagramSocket m_socket;
-    bool m_is_listening = false;
     event_loop::timer_id m_send_timer = event_loop::no_timer;
 };
 
--- /dev/null
+++ b/src/relay/quota_exchange.cpp
@@ -0,0 +1,124 @@
+#include "relay/quota_exchange.h"
+
+namespace galenaroad {
+
+using namespace std::chrono_literals;
+
+quota_exchange::quota_exchange(relay_context& context, datagram_channel& datagrams,
+                               quota_tolerance tolerance, std::function<bool()> knows_all_owners,
+                               random_engine random)
+    : m_context(context),
+      m_datagrams(datagrams),
+      m_knows_all_owners(std::move(knows_all_owners)),
+      m_authority(m_members, context.location.address),
+      m_prober(context.loop,
+               [this](const auto& address, auto asked_at) {
+                   m_context.metrics.record_quota_message("absent");
+                   m_authority.record_absence(address, asked_at);
+               }),
+      m_holder(m_authority, tolerance,
+               {[this](const auto& account) { return quota_of(account); },
+                [this](const auto& address) { m_prober.probe(address); }}),
+      m_client(m_members, tolerance, random,
+               {[this](const auto& address, const auto& question) { send(address, question); },
+                [this](auto delay) { schedule(delay); }})
+{
+    m_datagrams.on_message(quota_message_codec::question_type,
+                           [this](auto bytes, const auto& sender) { on_question(bytes, sender); });
+    m_datagrams.on_message(quota_message_codec::answer_type,
+                           [this](auto bytes, const auto&) { on_answer(bytes); });
+}
+
+quota_exchange::~quota_exchange()
+{
+    m_context.loop.cancel(m_timer);
+    m_context.loop.cancel(m_own_timer);
+}
+
+void quota_exchange::request(const std::string& account, quota_client::handler on_verdict)
+{
+    update_members();
+    m_client.request(account, std::move(on_verdict), m_context.now());
+}
+
+void quota_exchange::give_back(const std::string& account, const std::string& holder)
+{
+    m_client.give_back(account, holder, m_context.now());
+}
+
+void quota_exchange::send(const std::string& address, const quota_question& question)
+{
+    if (address == m_context.location.address) {
+        m_own_questions.push_back(question);
+        m_context.loop.cancel(m_own_timer);
+        m_own_timer = m_context.loop.after(0ns, [this] { answer_own_questions(); });
+        return;
+    }
+    const bool is_sent = m_datagrams.send(address, quota_message_codec::encode(question));
+    m_context.metrics.record_quota_message(is_sent ? "asked" : "not_sent");
+}
+
+void quota_exchange::schedule(std::chrono::nanoseconds delay)
+{
+    m_context.loop.cancel(m_timer);
+    m_timer = m_context.loop.after(delay, [this] { on_timer(); });
+}
+
+void quota_exchange::on_timer()
+{
+    m_timer = event_loop::no_timer;
+    update_members();
+    m_client.on_timer(m_context.now());
+}
+
+void quota_exchange::answer_own_questions()
+{
+    m_own_timer = event_loop::no_timer;
+    update_members();
+    const auto questions = std::move(m_own_questions);
+    m_own_questions.clear();
+    for (const auto& question : questions) {
+        const auto now = m_context.now();
+        if (const auto answer = m_holder.answer(m_context.location.address, question, now)) {
+            m_client.on_answer(*answer, now);
+        }
+    }
+}
+
+void quota_exchange::on_question(std::string_view bytes, const std::string& sender)
+{
+    const auto question = quota_message_codec::decode_question(bytes);
+    if (!question) {
+        m_context.metrics.record_quota_message("unreadable");
+        return;
+    }
+    update_members();
+    const auto answer = m_holder.answer(sender, *question, m_context.now());
+    if (answer && m_datagrams.send(sender, quota_message_codec::encode(*answer))) {
+        m_context.metrics.record_quota_message("answered");
+    }
+}
+
+void quota_exchange::on_answer(std::string_view bytes)
+{
+    const auto answer = quota_message_codec::decode_answer(bytes);
+    if (!answer) {
+        m_context.metrics.record_quota_message("unreadable");
+        return;
+    }
+    m_client.on_answer(*answer, m_context.now());
+}
+
+std::optional<account_quota> quota_exchange::quota_of(const std::string& account) const
+{
+    const auto plan = m_context.plans.in_force();
+    const auto found = plan ? plan->account(account) : nullptr;
+    return found ? std::optional(found->quota) : std::nullopt;
+}
+
+void quota_exchange::update_members()
+{
+    m_members.update(m_context.directory, m_knows_all_owners(), m_context.now());
+}
+
+} // namespace galenaroad
--- /dev/null
+++ b/src/relay/quota_exchange.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "accounts/holder_authority.h"
+#include "accounts/holder_members.h"
+#include "accounts/quota_client.h"
+#include "accounts/quota_holder.h"
+#include "relay/absence_prober.h"
+#include "relay/datagram_channel.h"
+#include "relay/relay_context.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace galenaroad {
+
+/// Connects the quota decisions of this daemon with those of the others, by datagrams: as the entry
+/// of requests, and as a holder of accounts.
+class quota_exchange {
+public:
+    /// @param context shared state; must outlive the exchange.
+    /// @param datagrams the channel of the messages; must outlive the exchange.
+    /// @param tolerance the tolerance of the fleet.
+    /// @param knows_all_owners whether the directory includes all daemons.
+    /// @param random random engine.
+    quota_exchange(relay_context& context, datagram_channel& datagrams, quota_tolerance tolerance,
+                   std::function<bool()> knows_all_owners, random_engine random);
+    quota_exchange(const quota_exchange&) = delete;
+    quota_exchange& operator=(const quota_exchange&) = delete;
+    quota_exchange(quota_exchange&&) = delete;
+    quota_exchange& operator=(quota_exchange&&) = delete;
+    ~quota_exchange();
+
+    /// Asks whether a request may run under the quota of its account.
+    /// @param account name of the account.
+    /// @param on_verdict called with the verdict, possibly at once.
+    void request(const std::string& account, quota_client::handler on_verdict);
+
+    /// Returns the token of a request that has not run.
+    /// @param account name of the account.
+    /// @param holder who has granted it.
+    void give_back(const std::string& account, const std::string& holder);
+
+private:
+    void send(const std::string& address, const quota_question& question);
+    void schedule(std::chrono::nanoseconds delay);
+    void on_timer();
+    void on_question(std::string_view bytes, const std::string& sender);
+    void on_answer(std::string_view bytes);
+    void answer_own_questions();
+    std::optional<account_quota> quota_of(const std::string& account) const;
+    void update_members();
+
+    relay_context& m_context;
+    datagram_channel& m_datagrams;
+    std::function<bool()> m_knows_all_owners;
+    holder_members m_members;
+    holder_authority m_authority;
+    absence_prober m_prober;
+    quota_holder m_holder;
+    quota_client m_client;
+    event_loop::timer_id m_timer = event_loop::no_timer;
+    event_loop::timer_id m_own_timer = event_loop::no_timer;
+    std::vector<quota_question> m_own_questions; ///< To this daemon itself; answered by its timer.
+};
+
+} // namespace galenaroad
--- a/src/relay/relay_context.h
+++ b/src/relay/relay_context.h
@@ -22,6 +22,8 @@
 
 namespace galenaroad {
 
+class quota_exchange;
+
 /// State shared by the requests of one daemon. Owned by relay_node; used only on its event loop.
 struct relay_context {
     event_loop& loop;
@@ -54,6 +56,7 @@
     std::function<void(const std::string& address, const owner_health& health)> on_health_reported;
     /// Assigns free slots to waiting requests.
     std::function<void()> run_waiting;
+    quota_exchange* quotas = nullptr; ///< Never null once the node is complete.
 
     /// @return the version of the plan in force; 0 without one.
     std::uint64_t plan_version() const { return plans.version(); }
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -73,6 +73,22 @@
         .Increment();
 }
 
+void relay_metrics::record_quota_message(const std::string& outcome)
+{
+    m_registry
+        .counter("galenaroad_quota_messages_total", "Messages between daemons on quotas.",
+                 {{"outcome", outcome}})
+        .Increment();
+}
+
+void relay_metrics::record_quota_decision(const std::string& decision)
+{
+    m_registry
+        .counter("galenaroad_quota_decisions_total",
+                 "Requests of accounts with a quota, by decision.", {{"decision", decision}})
+        .Increment();
+}
+
 void relay_metrics::record_plan(std::uint64_t version, const std::string& source)
 {
     m_registry.gauge("galenaroad_plan_version", "Version of the plan in force.", {})
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -52,6 +52,15 @@
     /// @param outcome `sent`, `received`, `unreadable` or `not_sent`.
     void record_health_report(const std::string& outcome);
 
+    /// Records a message between daemons on quotas of accounts.
+    /// @param outcome `asked`, `answered`, `not_sent` or `unreadable`; `absent` when a connection
+    /// has shown that a holder does not run.
+    void record_quota_message(const std::string& outcome);
+
+    /// Records whether a request was within the quota of its account.
+    /// @param decision name of the decision.
+    void record_quota_decision(const std::string& decision);
+
     /// Records a plan that has come into force.
     /// @param version its version.
     /// @param source `store` or `peer`.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -122,13 +122,18 @@
                          on_plan_replaced(replaced_version, peer);
                      }),
       m_sync(m_context, make_sync_hooks(), random_engine(random()), m_settings.link_rate),
-      m_health_reports(m_context, random_engine(random())),
+      m_datagrams(m_dependencies.loop, m_dependencies.log),
+      m_health_reports(m_context, m_datagrams, random_engine(random())),
+      m_quotas(
+          m_context, m_datagrams, m_settings.tolerance, [this] { return m_owners_listed; },
+          random_engine(random())),
       m_entry_server(m_dependencies.loop, limits_for({}, m_settings),
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_dependencies.loop, peer_limits(m_settings),
                     [this](auto client) { accept_peer(std::move(client)); }),
       m_acknowledgements(m_dependencies.loop)
 {
+    m_context.quotas = &m_quotas;
 }
 
 peer_sync::hooks relay_node::make_sync_hooks()
@@ -166,7 +171,7 @@
     const auto& listen = m_settings.listen_address;
     m_peer_server.listen(listen.empty() ? m_settings.location.address : listen);
     m_entry_server.listen(m_settings.entry_address);
-    m_health_reports.start(listen.empty() ? m_settings.location.address : listen);
+    m_datagrams.start(listen.empty() ? m_settings.location.address : listen);
     m_context.owned.begin_restore();
     trust_peers_later();
     watch_store();
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -3,11 +3,13 @@
 #include "fleet/fleet_store.h"
 #include "net/http_server.h"
 #include "relay/acknowledgement_queue.h"
+#include "relay/datagram_channel.h"
 #include "relay/entry_exchange.h"
 #include "relay/health_report_exchange.h"
 #include "relay/owner_exchange.h"
 #include "relay/peer_sync.h"
 #include "relay/plan_updater.h"
+#include "relay/quota_exchange.h"
 #include "relay/relay_context.h"
 
 #include <functional>
@@ -36,6 +38,7 @@
     /// Maximum time from stop() until unfinished requests get a response; the node stops right
     /// after.
     std::chrono::milliseconds stop_time{5000};
+    quota_tolerance tolerance; ///< By how much accounts may exceed their quotas.
     /// Delay from the first heartbeat of the owned upstream until the store is asked for the local
     /// owners. When all daemons start together, the others publish their records within this time.
     std::chrono::milliseconds first_list_delay{0};
@@ -125,7 +128,9 @@
     relay_context m_context;
     plan_updater m_plan_updater;
     peer_sync m_sync;
+    datagram_channel m_datagrams;
     health_report_exchange m_health_reports;
+    quota_exchange m_quotas;
     http_server m_entry_server;
     http_server m_peer_server;
     std::set<std::shared_ptr<entry_exchange>> m_entry_requests;
--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -65,9 +65,13 @@
 
     explicit test_fleet(account_quota limit, std::size_t daemons = 10, std::uint64_t seed = 1,
                         double loss = 0)
-        : quota(limit),
-          fleet(loop, settings(daemons, seed, loss)),
-          load{loop, fleet, random_engine(seed), 1, {}, {}}
+        : test_fleet(limit, settings(daemons, seed, loss))
+    {
+    }
+
+    test_fleet(account_quota limit, const quota_fleet_settings& settings)
+        : quota(limit), fleet(loop, settings), load{loop, fleet, random_engine(settings.seed),
+                                                    1,    {},    {}}
     {
         fleet.set_quota(account, quota);
         loop.run_for(10s);
@@ -258,6 +262,23 @@
     CHECK(test.excess() <= 0);
 }
 
+TEST_CASE("quota_fleet: daemons that are cut off one by one, by refused connections", "[quota]")
+{
+    // Guards against daemons that take the place of all others because the network refuses their
+    // connections.
+    auto settings = test_fleet::settings(12, 1, 0);
+    settings.cuts_refuse = true;
+    test_fleet test({160, 160}, settings);
+    test.load.start(750, 10s);
+    test.loop.run_for(3s);
+    int side = 0;
+    for (const auto daemon : test.fleet.ranked(account)) {
+        test.fleet.set_side(daemon, ++side);
+    }
+    test.loop.run_for(6s);
+    CHECK(test.excess() <= 0);
+}
+
 TEST_CASE("quota_fleet: all daemons are killed while an account is at its limit", "[quota]")
 {
     // Guards against daemons that start with full buckets, and against an account that stays
