Admit requests of accounts by the tokens of their quota

Change: between the route and the first owner a request of an account with a quota gets a token (entry_quota); over the quota it gets 429, and 503 when no holder responds, both with Retry-After. The token of a request that has not run is returned.

--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -53,7 +53,27 @@
                 self->on_deadline();
             }
         });
-    try_next_owner();
+    get_token();
+}
+
+void entry_exchange::get_token()
+{
+    const auto& account = m_route.account();
+    if (!account || !account->quota.is_limited()) {
+        try_next_owner();
+        return;
+    }
+    m_quota.request(m_context, account->name, weak_from_this(), [this](const auto& error) {
+        if (m_ended) {
+            m_quota.give_back(m_context);
+        }
+        else if (error) {
+            respond_with_error(*error);
+        }
+        else {
+            try_next_owner();
+        }
+    });
 }
 
 void entry_exchange::try_next_owner()
@@ -162,6 +182,7 @@
     }
     m_current_attempt = call;
     m_slow_attempt.reset();
+    m_execution = execution::may_have_run;
     m_stream = std::make_unique<response_stream>(m_client, call);
     m_stream->begin();
 }
@@ -440,6 +461,8 @@
     }
     m_context.metrics.record_response(m_route.service(), status, elapsed);
     auto fields = m_route.fields();
+    const auto quota_fields = m_quota.fields();
+    fields.insert(fields.end(), quota_fields.begin(), quota_fields.end());
     fields.insert(
         fields.end(),
         {{"status", std::to_string(status)},
@@ -472,10 +495,19 @@
     m_ended = true;
     m_context.loop.cancel(m_deadline_timer);
     m_context.loop.cancel(m_attempt_timer);
+    if (has_not_run()) {
+        m_quota.give_back(m_context);
+    }
     cancel_calls();
     m_on_end(*this);
 }
 
+bool entry_exchange::has_not_run() const
+{
+    const bool may_run = m_current_attempt && !m_current_attempt->has_ended();
+    return m_execution == execution::not_run && !may_run;
+}
+
 std::chrono::milliseconds entry_exchange::remaining() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_route.deadline() -
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -2,6 +2,7 @@
 
 #include "load/owner_search.h"
 #include "net/http_server.h"
+#include "relay/entry_quota.h"
 #include "relay/entry_route.h"
 #include "relay/owner_call.h"
 #include "relay/relay_context.h"
@@ -41,6 +42,7 @@
         bool is_valid = false;
     };
 
+    void get_token();
     void try_next_owner();
     void record_probe();
     void send_to(const owner_record& owner);
@@ -69,6 +71,7 @@
     std::chrono::milliseconds retry_after() const;
     void record_and_end(int status, std::string_view reason);
     void end();
+    bool has_not_run() const;
     /// @return the rule of the request's route; valid once the route has been found.
     const route_rule& rule() const { return *m_route.rule(); }
     std::chrono::milliseconds remaining() const;
@@ -78,6 +81,7 @@
     std::function<void(entry_exchange&)> m_on_end;
     std::string m_request_id;
     entry_route m_route;
+    entry_quota m_quota;
     call_ptr m_current_attempt; ///< The latest attempt, also after its end; null before the first.
     call_ptr m_slow_attempt;    ///< A slow attempt that runs in parallel, or null.
     owner_search m_search;
