--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -208,6 +208,7 @@
         result.entry_address = entry_address;
         result.own_service = "own-" + name;
         result.retries = {0.2, 58};
+        result.tolerance.slack = 20;
         return result;
     }
 
