--- a/src/relay/quota_exchange.cpp
+++ b/src/relay/quota_exchange.cpp
@@ -37,7 +37,6 @@
 
 void quota_exchange::request(const std::string& account, quota_client::handler on_verdict)
 {
-    update_members();
     m_client.request(account, std::move(on_verdict), m_context.now());
 }
 
@@ -67,14 +66,12 @@
 void quota_exchange::on_timer()
 {
     m_timer = event_loop::no_timer;
-    update_members();
     m_client.on_timer(m_context.now());
 }
 
 void quota_exchange::answer_own_questions()
 {
     m_own_timer = event_loop::no_timer;
-    update_members();
     const auto questions = std::move(m_own_questions);
     m_own_questions.clear();
     for (const auto& question : questions) {
@@ -92,7 +89,6 @@
         m_context.metrics.record_quota_message("unreadable");
         return;
     }
-    update_members();
     const auto answer = m_holder.answer(sender, *question, m_context.now());
     if (answer && m_datagrams.send(sender, quota_message_codec::encode(*answer))) {
         m_context.metrics.record_quota_message("answered");
--- a/src/relay/quota_exchange.h
+++ b/src/relay/quota_exchange.h
@@ -33,6 +33,10 @@
     quota_exchange& operator=(quota_exchange&&) = delete;
     ~quota_exchange();
 
+    /// Takes over the changes of the directory. To be called at once: how long a daemon has been
+    /// known counts.
+    void update_members();
+
     /// Asks whether a request may run under the quota of its account.
     /// @param account name of the account.
     /// @param on_verdict called with the verdict, possibly at once.
@@ -51,8 +55,6 @@
     void on_answer(std::string_view bytes);
     void answer_own_questions();
     std::optional<account_quota> quota_of(const std::string& account) const;
-    void update_members();
-
     relay_context& m_context;
     datagram_channel& m_datagrams;
     std::function<bool()> m_knows_all_owners;
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -189,6 +189,7 @@
     hooks.owner_removed = [this](const std::string& address) {
         if (address != m_settings.location.address) {
             m_context.directory.remove(address);
+            m_quotas.update_members();
         }
     };
     hooks.local_owners_listed = [this] {
@@ -233,6 +234,7 @@
         return;
     }
     m_owners_listed = true;
+    m_quotas.update_members();
     m_sync.on_local_owners_known();
     publish();
 }
@@ -280,6 +282,7 @@
             publish();
         }
     }
+    m_quotas.update_members();
     m_sync.on_state_change();
 }
 
@@ -393,6 +396,7 @@
     }
     if (!is_tentative) {
         m_context.directory.merge(m_published);
+        m_quotas.update_members();
         m_sync.on_state_change();
     }
 }
