--- a/src/tests/platform_adapter_test.cpp
+++ b/src/tests/platform_adapter_test.cpp
@@ -26,7 +26,7 @@
   platform: {address: "10.9.0.1:5"}
 terms:
   bounds: {grace_period_s: 6, retry_budget_ratio: 0.2, budget_extra: 58,
-           budget_window_s: 8}
+           budget_window_s: 8, quota_window_s: 4, quota_over: 0.2, quota_slack: 30}
 )";
 
 } // namespace
@@ -43,10 +43,16 @@
     CHECK(read->grace_period == 6s);
     CHECK(read->retry_extra == 58);
     CHECK(read->retry_window == 8s);
+    CHECK(read->quota_window == 4s);
+    CHECK(read->quota_over == 0.2);
+    CHECK(read->quota_slack == 30);
     const auto invalid = node_settings_reader::parse("self: {node_name: x}");
     REQUIRE_FALSE(invalid.has_value());
     CHECK(invalid.error().find("'ip'") != std::string::npos);
     CHECK_FALSE(node_settings_reader::parse("self: [").has_value());
+    auto negative = std::string(settings_text);
+    negative.replace(negative.find("quota_over: 0.2"), 15, "quota_over: -.2");
+    CHECK_FALSE(node_settings_reader::parse(negative).has_value());
 }
 
 TEST_CASE("plan_decoder: routes, splits and limits are decoded", "[platform]")
