Let deputies grant at once after a start

Change: a deputy begins with a full bucket of a third of its share. A deputy whose burst is less than a request grants nothing.

--- a/src/accounts/quota_holder.cpp
+++ b/src/accounts/quota_holder.cpp
@@ -41,7 +41,7 @@
     if (!quota || right.kind == quota_authority::none) {
         return result;
     }
-    auto& state = state_of(question.account, right, now);
+    auto& state = state_of(question.account, *quota, right, now);
     const auto [found, is_new] = state.answered.try_emplace(question.session);
     auto& latest = found->second;
     if (!is_new && question.sequence <= latest.answer.sequence) {
@@ -55,22 +55,20 @@
 }
 
 quota_holder::account_state& quota_holder::state_of(const std::string& account,
+                                                    const account_quota& quota,
                                                     const holder_authority::right& right,
                                                     steady_time now)
 {
     const auto since = right.since;
-    const auto [found, is_new] = m_accounts.try_emplace(
-        account, account_state{token_bucket(since), since, token_bucket(since), since, 0, now, {}});
-    auto& state = found->second;
+    const auto deputy_tokens = quota_shares::of_deputy(m_tolerance, quota).burst;
+    const account_state created{
+        token_bucket(since), since, token_bucket(now, deputy_tokens), 0, now, {}};
+    auto& state = m_accounts.try_emplace(account, created).first->second;
     if (right.kind == quota_authority::full && since > state.holder_since) {
         // In the meantime another daemon may have been the holder.
         state.bucket = token_bucket(since);
         state.holder_since = since;
     }
-    if (right.kind == quota_authority::deputy && since > state.deputy_since) {
-        state.deputy_bucket = token_bucket(since);
-        state.deputy_since = since;
-    }
     return state;
 }
 
@@ -92,9 +90,10 @@
     bucket.give_back(question.returned);
     state.bucket.update(quota, now);
     state.deputy_bucket.update(deputy_quota, now);
-    int granted = bucket.take(question.wanted);
+    int granted = is_holder ? state.bucket.take(question.wanted) : 0;
     // A holder that has just begun with an empty bucket also has the share of a deputy.
-    if (is_holder && now - right.since < m_tolerance.window) {
+    const bool has_share = !is_holder || now - right.since < m_tolerance.window;
+    if (has_share && deputy_quota.burst >= 1) {
         granted += state.deputy_bucket.take(question.wanted - granted);
     }
     answer.granted = static_cast<std::uint16_t>(granted);
--- a/src/accounts/quota_holder.h
+++ b/src/accounts/quota_holder.h
@@ -45,14 +45,13 @@
         token_bucket bucket;
         steady_time holder_since; ///< The bucket was empty then.
         token_bucket deputy_bucket;
-        steady_time deputy_since;
         double announced = 0; ///< Future tokens that refused requests were told to wait for.
         steady_time used_at;
         std::map<std::uint32_t, answered_question> answered; ///< By session.
     };
 
-    account_state& state_of(const std::string& account, const holder_authority::right& right,
-                            steady_time now);
+    account_state& state_of(const std::string& account, const account_quota& quota,
+                            const holder_authority::right& right, steady_time now);
     void grant(account_state& state, const account_quota& quota,
                const holder_authority::right& right, const quota_question& question,
                quota_answer& answer, steady_time now) const;
--- a/src/accounts/quota_tolerance.cpp
+++ b/src/accounts/quota_tolerance.cpp
@@ -25,8 +25,9 @@
     const std::chrono::duration<double> window = tolerance.window;
     const double per_window = quota.rate * window.count() + quota.burst;
     const double share = (per_window * tolerance.over / parts_of_over + tolerance.slack) / deputies;
-    // In one window a bucket grants its burst and what it accrues.
-    return {share / 2 / window.count(), share / 2};
+    // In one window a bucket grants its burst and what it accrues, and its burst once more when its
+    // daemon is started again.
+    return {share / 3 / window.count(), share / 3};
 }
 
 } // namespace galenaroad
--- a/src/accounts/token_bucket.h
+++ b/src/accounts/token_bucket.h
@@ -10,8 +10,11 @@
 class token_bucket {
 public:
     /// Creates a bucket that accrues from a time on.
-    /// @param since when it was empty.
-    explicit token_bucket(steady_time since) : m_updated_at(since) {}
+    /// @param since the time.
+    /// @param level the tokens at that time.
+    explicit token_bucket(steady_time since, double level = 0) : m_level(level), m_updated_at(since)
+    {
+    }
 
     /// Adds the tokens that have accrued.
     /// @param quota the quota in force; a change of it applies from the previous update on.
@@ -32,7 +35,7 @@
     static double capacity(const account_quota& quota);
 
 private:
-    double m_level = 0;
+    double m_level;
     steady_time m_updated_at;
 };
 
