Ask a holder by each of the deputies before its place is given up

Change: before each deputy is asked for its own tokens, it passes the question on. The test of lost paths now loses those to the next daemon as well.

--- a/src/accounts/quota_client.cpp
+++ b/src/accounts/quota_client.cpp
@@ -85,16 +85,16 @@
     }
 }
 
-// A holder that does not answer directly may answer the next daemon: often only one path is lost.
+// A holder that does not answer directly may answer another daemon: often only one path is lost.
 std::vector<quota_route> quota_client::routes_of(const std::string& account) const
 {
     const auto& holders = m_members.ranked(account);
     std::vector<quota_route> routes;
-    for (const auto& address : holders) {
-        routes.push_back({address, {}});
-        if (routes.size() == 1 && holders.size() > 1) {
-            routes.push_back({address, holders[1]});
+    for (std::size_t rank = 0; rank < holders.size(); ++rank) {
+        if (rank > 0 && rank <= quota_shares::deputies) {
+            routes.push_back({holders.front(), holders[rank]});
         }
+        routes.push_back({holders[rank], {}});
     }
     return routes;
 }
--- a/src/tests/quota_client_test.cpp
+++ b/src/tests/quota_client_test.cpp
@@ -104,6 +104,9 @@
     CHECK(test.sent.back().first.address == holders[1]);
     CHECK(test.sent.back().first.via.empty());
     test.answer(0, quota_authority::deputy);
+    CHECK(test.sent.back().first.address == holders[0]);
+    CHECK(test.sent.back().first.via == holders[2]);
+    test.advance(130ms);
     CHECK(test.sent.back().first.address == holders[2]);
     test.answer(0, quota_authority::none);
     REQUIRE(test.verdicts.size() == 1);
--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -274,6 +274,9 @@
         if (each != holder && each != next) {
             test.fleet.lose_path(each, holder);
         }
+        if (each % 2 == 0 && each != next) {
+            test.fleet.lose_path(each, next);
+        }
     }
     test.load.start(100, 10s);
     test.loop.run_for(12s);
