Find another way to a holder sooner, and keep to it

Change: a way is given up after 125 ms and left out for two seconds. A refused connection counts as an end only for a daemon in touch with another one: with shorter waits, daemons that are cut off one by one by refused connections exceeded the bound by 297 requests in quota_fleet_test; with the rule they keep it.

--- a/src/accounts/holder_authority.cpp
+++ b/src/accounts/holder_authority.cpp
@@ -34,11 +34,13 @@
     right result{
         quota_authority::full,
         std::max(own_since + start_time, m_members.last_departure_before(m_own_address, account))};
+    const bool is_in_touch = now - m_contact_at <= absence_time;
     int unknown = 0;
     for (auto each = order.begin(); each != own; ++each) {
         const auto found = m_absences.find(*each);
         const bool has_joined_lately = now - m_members.find(*each)->since <= absence_time;
-        if (found != m_absences.end() && now - found->second.latest <= absence_time) {
+        if (is_in_touch && found != m_absences.end() &&
+            now - found->second.latest <= absence_time) {
             result.since = std::max(result.since, found->second.since);
         }
         else if (!has_joined_lately) {
--- a/src/accounts/holder_authority.h
+++ b/src/accounts/holder_authority.h
@@ -38,6 +38,10 @@
     /// @param asked_at when the connection was begun.
     void record_absence(const std::string& address, steady_time asked_at);
 
+    /// Records that a message of another daemon has arrived. A daemon that is cut off may find that
+    /// all others refuse its connections, so it takes no place without such a message.
+    void record_contact(steady_time now) { m_contact_at = now; }
+
     /// @param account an account.
     /// @param find_out_absence called with each daemon that ranks before this one.
     /// @return what this daemon may grant of the account.
@@ -54,6 +58,7 @@
     holder_members& m_members;
     std::string m_own_address;
     std::map<std::string, absence> m_absences;
+    steady_time m_contact_at;
 };
 
 } // namespace galenaroad
--- a/src/accounts/quota_client.cpp
+++ b/src/accounts/quota_client.cpp
@@ -12,8 +12,9 @@
 // Above the time to the farthest region and back.
 constexpr auto repeat_interval = 60ms;
 constexpr auto max_wait = 1s;
-// A daemon that has not answered is not asked again for this time.
-constexpr auto silence_time = 1s;
+// A way that was silent is left out for this time, which is longer than it takes to find another
+// one.
+constexpr auto silence_time = 2s;
 constexpr auto return_delay = 50ms;
 // After a refusal an account is refused here without a question for up to this time, so that its
 // refusals stay cheap, and short enough that its bucket does not fill up meanwhile.
@@ -124,8 +125,7 @@
     open.route = route;
     open.step = step;
     open.sent_at = now;
-    const auto max_age = quota_shares::max_token_age(m_tolerance);
-    open.give_up_at = now + (route.via.empty() ? max_age : max_age / 2);
+    open.give_up_at = now + quota_shares::max_token_age(m_tolerance) / 2;
     open.next_step_at = now + repeat_interval;
     auto& question = open.question;
     question.session = m_session;
--- a/src/experiment/quota_fleet.cpp
+++ b/src/experiment/quota_fleet.cpp
@@ -213,13 +213,15 @@
                                    const std::string& text)
 {
     transfer(via, to, text.size(), [this, from, via, to, text](auto& asked) {
+        record_contact(asked, via);
         const auto received = quota_message_codec::decode_question(text);
         const auto answer = asked.holder->answer(*received, m_loop.steady_now());
         if (!answer) {
             return;
         }
         const auto answer_text = quota_message_codec::encode(*answer);
-        const auto accept = [this, answer_text](auto& asking) {
+        const auto accept = [this, to, answer_text](auto& asking) {
+            record_contact(asking, to);
             asking.client->on_answer(*quota_message_codec::decode_answer(answer_text),
                                      m_loop.steady_now());
         };
@@ -233,6 +235,13 @@
     });
 }
 
+void quota_fleet::record_contact(daemon_state& receiver, std::size_t sender) const
+{
+    if (receiver.address != m_daemons[sender]->address) {
+        receiver.authority->record_contact(m_loop.steady_now());
+    }
+}
+
 void quota_fleet::probe(std::size_t from, const std::string& address)
 {
     const auto now = m_loop.steady_now();
--- a/src/experiment/quota_fleet.h
+++ b/src/experiment/quota_fleet.h
@@ -104,6 +104,7 @@
     void send_question(std::size_t from, const quota_route& route, const quota_question& question);
     void deliver_question(std::size_t from, std::size_t via, std::size_t to,
                           const std::string& text);
+    void record_contact(daemon_state& receiver, std::size_t sender) const;
     void probe(std::size_t from, const std::string& address);
     void announce(std::size_t daemon, announced_state state);
     void send_record(std::size_t from, std::size_t to, const owner_record& record);
--- a/src/relay/quota_exchange.cpp
+++ b/src/relay/quota_exchange.cpp
@@ -104,6 +104,7 @@
         m_context.metrics.record_quota_message("unreadable");
         return;
     }
+    m_authority.record_contact(m_context.now());
     const auto answer = m_holder.answer(*question, m_context.now());
     if (answer && m_datagrams.send(sender, quota_message_codec::encode(*answer))) {
         m_context.metrics.record_quota_message("answered");
@@ -134,6 +135,7 @@
         m_context.metrics.record_quota_message("unreadable");
         return;
     }
+    m_authority.record_contact(m_context.now());
     const auto forwarded = m_forwarded.find(answer->session);
     if (forwarded != m_forwarded.end()) {
         m_datagrams.send(forwarded->second, bytes);
--- a/src/tests/quota_client_test.cpp
+++ b/src/tests/quota_client_test.cpp
@@ -97,7 +97,7 @@
     REQUIRE(test.sent.size() == 2);
     CHECK(test.sent[0].second.sequence == test.sent[1].second.sequence);
     const auto holders = test.members.ranked("acme");
-    test.advance(190ms);
+    test.advance(60ms);
     CHECK(test.sent.back().first.address == holders[0]);
     CHECK(test.sent.back().first.via == holders[1]);
     test.advance(130ms);
--- a/src/tests/quota_holder_test.cpp
+++ b/src/tests/quota_holder_test.cpp
@@ -97,6 +97,7 @@
     test.time.advance(10s);
     CHECK(test.ask(2, 1)->authority == quota_authority::deputy);
     CHECK(test.doubted.back() == first);
+    test.authority.record_contact(test.time.steady_now());
     test.authority.record_absence(first, test.time.steady_now());
     const auto taken_over = test.ask(3, 50);
     CHECK(taken_over->authority == quota_authority::full);
