--- a/src/accounts/quota_client.cpp
+++ b/src/accounts/quota_client.cpp
@@ -121,7 +121,8 @@
 void quota_client::send(const std::string& account, account_state& state, const quota_route& route,
                         std::size_t step, steady_time now)
 {
-    auto& open = state.open.emplace();
+    state.open = open_question();
+    auto& open = *state.open;
     open.route = route;
     open.step = step;
     open.sent_at = now;
@@ -245,7 +246,7 @@
     }
 }
 
-void quota_client::repeat(open_question& open, steady_time now)
+void quota_client::repeat(open_question& open, steady_time now) const
 {
     open.next_step_at = std::min(now + 2 * repeat_interval, open.give_up_at);
     m_hooks.send(quota_route(open.route), quota_question(open.question));
--- a/src/accounts/quota_client.h
+++ b/src/accounts/quota_client.h
@@ -114,7 +114,7 @@
     void apply(const std::string& account, account_state& state, const quota_answer& answer,
                steady_time now);
     void schedule(steady_time at, steady_time now);
-    void repeat(open_question& open, steady_time now);
+    void repeat(open_question& open, steady_time now) const;
     void on_silent(const std::string& account, account_state& state, steady_time now);
     void update(const std::string& account, account_state& state, steady_time now);
     void refuse(account_state& state, std::size_t count, const quota_verdict& verdict,
--- a/src/relay/entry_quota.cpp
+++ b/src/relay/entry_quota.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 void entry_quota::request(relay_context& context, const std::string& account,
-                          std::weak_ptr<void> owner, decision_handler on_decided)
+                          const std::weak_ptr<void>& owner, const decision_handler& on_decided)
 {
     m_account = account;
     context.quotas->request(account, [this, &context, owner, on_decided](const auto& verdict) {
--- a/src/relay/entry_quota.h
+++ b/src/relay/entry_quota.h
@@ -23,8 +23,8 @@
     /// @param owner the object that contains this one. Once it has expired, a token that is granted
     /// is returned.
     /// @param on_decided called once, possibly at once.
-    void request(relay_context& context, const std::string& account, std::weak_ptr<void> owner,
-                 decision_handler on_decided);
+    void request(relay_context& context, const std::string& account,
+                 const std::weak_ptr<void>& owner, const decision_handler& on_decided);
 
     /// Returns the token, if there is one, because the request has not run and will not run.
     void give_back(relay_context& context);
