--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -156,10 +156,9 @@
 
 TEST_CASE("quota_fleet: in no history do more requests run than the tolerance allows", "[quota]")
 {
-    // Guards against two holders of one account, tokens that are kept or used twice, and state that
-    // a restart makes better than it was. It failed with each of these on purpose: a deputy that
-    // grants in full, no start time, tokens of any age, a restart with full buckets, an answer that
-    // is computed again for a repeated question.
+    // Guards against two holders of one account, and against state that a restart makes better than
+    // it was. It failed with each of these on purpose: a deputy that grants in full, silence taken
+    // for an end, no start time, a long absence time, a start with full buckets.
     CHECK(rc::check("bound", [] {
         const auto seed = *rc::gen::arbitrary<std::uint64_t>();
         const auto rate = *rc::gen::element(1.0, 20.0, 160.0);
