--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -123,13 +123,18 @@
                          on_plan_replaced(replaced_version, peer);
                      }),
       m_sync(m_context, make_sync_hooks(), random_engine(random()), m_settings.link_rate),
-      m_health_reports(m_context, random_engine(random())),
+      m_datagrams(m_dependencies.loop, m_dependencies.log),
+      m_health_reports(m_context, m_datagrams, random_engine(random())),
+      m_quotas(
+          m_context, m_datagrams, m_settings.tolerance, [this] { return m_owners_listed; },
+          random_engine(random())),
       m_entry_server(m_dependencies.loop, limits_for({}, m_settings),
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_dependencies.loop, peer_limits(m_settings),
                     [this](auto client) { accept_peer(std::move(client)); }),
       m_acknowledgements(m_dependencies.loop)
 {
+    m_context.quotas = &m_quotas;
 }
 
 peer_sync::hooks relay_node::make_sync_hooks()
@@ -167,7 +172,7 @@
     const auto& listen = m_settings.listen_address;
     m_peer_server.listen(listen.empty() ? m_settings.location.address : listen);
     m_entry_server.listen(m_settings.entry_address);
-    m_health_reports.start(listen.empty() ? m_settings.location.address : listen);
+    m_datagrams.start(listen.empty() ? m_settings.location.address : listen);
     m_context.owned.begin_restore();
     trust_peers_later();
     watch_store();
@@ -184,6 +189,7 @@
     hooks.owner_removed = [this](const std::string& address) {
         if (address != m_settings.location.address) {
             m_context.directory.remove(address);
+            m_quotas.update_members();
         }
     };
     hooks.local_owners_listed = [this] {
@@ -228,6 +234,7 @@
         return;
     }
     m_owners_listed = true;
+    m_quotas.update_members();
     m_sync.on_local_owners_known();
     publish();
 }
@@ -278,6 +285,7 @@
             publish();
         }
     }
+    m_quotas.update_members();
     m_sync.on_state_change();
 }
 
@@ -391,6 +399,7 @@
     }
     if (!is_tentative) {
         m_context.directory.merge(m_published);
+        m_quotas.update_members();
         m_sync.on_state_change();
     }
 }
