Handle a store that comes back from an older copy

Read in the code, confirmed by tests: a feed version that was passed again hid the changes below it; a row that the copy lacked, or had as it was before a departure, was not written again, and the next start of its daemon believed it; a removed row came back; a late write whose condition named a version given out anew replaced a later row; a plan version written again with other contents was ignored; answers of an earlier era were used. Ruled out: a plan going back (the code before held).

A store that names no era is served as before.

--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/owner_record.h"
+#include "fleet/store_era.h"
 
 #include <cstdint>
 #include <functional>
@@ -13,6 +14,7 @@
 struct plan_document {
     std::uint64_t version = 0;
     std::string text;
+    store_era era{}; ///< Of the store, when it was read.
 };
 
 /// Interface to the platform's store, which delivers the plan and the owners and keeps this owner's
@@ -35,6 +37,8 @@
         std::function<void(const owner_record&)> own_record_found;
         /// The result of is_plan_watch_healthy() has changed.
         std::function<void()> plan_watch_health_changed;
+        /// The store has come back from an older copy; era() tells the new era.
+        std::function<void()> era_changed;
         std::function<void()> probe_succeeded; ///< The store has responded to probe().
     };
 
@@ -68,6 +72,14 @@
     /// @param record the record.
     virtual void publish(const owner_record& record) = 0;
 
+    /// Compares the stored record of this owner with the one published last, unless that was done
+    /// in an era, and writes it again if the store has lost it; retried until that is known.
+    /// @param era era that the store is in, as far as it is known.
+    virtual void verify_record(store_era era) = 0;
+
+    /// @return the era of the store; unknown when it names none.
+    virtual store_era era() const = 0;
+
     /// Calls for owners have no influence on the result, since calls for the plan and for owners
     /// may fail independently.
     /// @return true while the plan is watched and the store responds to the calls for it.
--- a/src/fleet/owner_directory.cpp
+++ b/src/fleet/owner_directory.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// As many instances as a restore may bring back at most: those that left within seconds.
+constexpr std::size_t max_removed = 1024;
+
 std::uint64_t hash_of(const owner_record& record)
 {
     return XXH3_64bits_withSeed(record.address.data(), record.address.size(), record.revision);
@@ -15,6 +18,10 @@
 
 bool owner_directory::merge(const owner_record& record)
 {
+    const auto removed = m_removed.find(record.address);
+    if (removed != m_removed.end() && record.revision <= removed->second) {
+        return false;
+    }
     const auto [found, is_new] = m_owners.try_emplace(record.address);
     auto& held = found->second;
     if (!is_new && held.record.revision >= record.revision) {
@@ -35,6 +42,10 @@
 {
     const auto found = m_owners.find(address);
     if (found != m_owners.end()) {
+        if (m_removed.size() >= max_removed) {
+            m_removed.erase(m_removed.begin());
+        }
+        m_removed[address] = found->second.record.revision;
         m_digest ^= hash_of(found->second.record);
         m_changes.erase(found->second.change);
         m_owners.erase(found);
--- a/src/fleet/owner_directory.h
+++ b/src/fleet/owner_directory.h
@@ -18,7 +18,8 @@
     /// @return true when it changed the directory.
     bool merge(const owner_record& record);
 
-    /// Removes an owner whose record was deleted.
+    /// Removes an owner whose record was deleted. The record is not stored again, also when the
+    /// store has lost that it was deleted.
     /// @param address the owner's address.
     void remove(const std::string& address);
 
@@ -55,6 +56,7 @@
     };
 
     std::map<std::string, entry> m_owners;
+    std::map<std::string, std::uint64_t> m_removed; ///< Revisions of removed records, by owner.
     /// Address of the changed owner by change number.
     std::map<std::uint64_t, std::string> m_changes;
     std::uint64_t m_latest_change = 0;
--- a/src/fleet/owner_record.h
+++ b/src/fleet/owner_record.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/store_era.h"
+
 #include <cstdint>
 #include <string>
 
@@ -25,6 +27,7 @@
     announced_state state = announced_state::none;
     std::uint64_t start_time_ms = 0; ///< Unix time of the upstream's start; 0 when not known.
     std::uint64_t sequence = 0;      ///< Number of the heartbeat that reported the state.
+    store_era era; ///< Of the store, when the record was written there; not known elsewhere.
 };
 
 } // namespace galenaroad
--- a/src/fleet/owner_record_codec.cpp
+++ b/src/fleet/owner_record_codec.cpp
@@ -15,15 +15,19 @@
 
 json to_json(const owner_record& record)
 {
-    return {{"address", record.address},
-            {"data_centre", record.data_centre},
-            {"region", record.region},
-            {"revision", record.revision},
-            {"upstream", record.upstream_id},
-            {"service", record.service},
-            {"state", state_names.at(static_cast<std::size_t>(record.state))},
-            {"born_ms", record.start_time_ms},
-            {"sequence", record.sequence}};
+    json value{{"address", record.address},
+               {"data_centre", record.data_centre},
+               {"region", record.region},
+               {"revision", record.revision},
+               {"upstream", record.upstream_id},
+               {"service", record.service},
+               {"state", state_names.at(static_cast<std::size_t>(record.state))},
+               {"born_ms", record.start_time_ms},
+               {"sequence", record.sequence}};
+    if (record.era.is_known()) {
+        value["store_era"] = record.era.number();
+    }
+    return value;
 }
 
 // Greater integers are not exact in every JSON parser. Counters since the start of a daemon and
@@ -77,6 +81,9 @@
         record.revision = *revision;
         record.start_time_ms = *start_time_ms;
         record.sequence = *sequence;
+        if (const auto era = number_at(value, "store_era")) {
+            record.era = store_era(*era);
+        }
         return record;
     }
     catch (const json::exception&) {
--- a/src/fleet/upstream_lifecycle.cpp
+++ b/src/fleet/upstream_lifecycle.cpp
@@ -17,7 +17,10 @@
     if (record.state == announced_state::left || record.state == announced_state::draining) {
         record_end(record.upstream_id, record.start_time_ms);
     }
-    if (m_has_heartbeat) {
+    // A store that has come back from a copy has an earlier record than peers had.
+    const bool is_outdated = record.revision < m_restored_revision;
+    m_restored_revision = std::max(m_restored_revision, record.revision);
+    if (m_has_heartbeat || is_outdated) {
         // The heartbeat was sent before the departure that the record announces.
         if (m_state == announced_state::ready && has_ended(m_latest)) {
             m_state = record.state;
--- a/src/fleet/upstream_lifecycle.h
+++ b/src/fleet/upstream_lifecycle.h
@@ -44,7 +44,7 @@
     void begin_restore() { m_is_restoring = true; }
 
     /// Restores the state that an earlier start of this daemon announced. May be called at any time
-    /// and with outdated records, whose departures stay in effect.
+    /// and with outdated records, of which only departures take effect.
     /// @param record one of its records.
     void restore(const owner_record& record);
 
@@ -83,7 +83,8 @@
     upstream_heartbeat m_latest;
     announced_state m_state = announced_state::none;
     bool m_is_restoring = false;
-    bool m_has_heartbeat = false; ///< A heartbeat has arrived since this daemon started.
+    std::uint64_t m_restored_revision = 0; ///< Highest one of the restored records.
+    bool m_has_heartbeat = false;          ///< A heartbeat has arrived since this daemon started.
     /// Latest start time of each upstream that has announced its departure, by its id.
     std::map<std::string, std::uint64_t> m_ended_starts;
 };
--- a/src/relay/peer_follower.cpp
+++ b/src/relay/peer_follower.cpp
@@ -38,6 +38,11 @@
     state_request request;
     request.plan_version = m_context.plan_version();
     request.reported_plan_version = m_plan_version;
+    request.reported_era = m_era;
+    if (m_era.is_known() && request.plan_version > 0) {
+        request.plan_digest = m_context.plans.in_force()->digest();
+        request.reported_plan_digest = m_plan_digest;
+    }
     request.address = m_context.location.address;
     request.position = m_position;
     request.was_fresh = m_status == status::fresh;
@@ -89,6 +94,8 @@
     m_status = state->is_fresh ? status::fresh : status::stale;
     m_has_lost_store = state->has_lost_store;
     m_plan_version = state->plan_version;
+    m_plan_digest = state->plan_digest;
+    m_era = state->era;
     m_request_timer =
         m_context.loop.after(state->is_fresh ? 0ms : stale_retry_delay, [this] { send_request(); });
     // The callback may destroy this follower.
--- a/src/relay/peer_follower.h
+++ b/src/relay/peer_follower.h
@@ -58,6 +58,8 @@
     status m_status = status::pending;
     bool m_has_lost_store = false;
     std::uint64_t m_plan_version = 0;
+    std::uint64_t m_plan_digest = 0; ///< Of the peer's plan, see peer_state.
+    store_era m_era;                 ///< Of the store, as the peer has reported it.
     std::shared_ptr<http_exchange> m_call;
     event_loop::timer_id m_request_timer = event_loop::no_timer; ///< Until the next request.
     /// Since the last acknowledgement of the peer.
--- a/src/relay/peer_state.cpp
+++ b/src/relay/peer_state.cpp
@@ -38,6 +38,13 @@
     return found != value.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
+store_era era_at(const json& value, const char* key)
+{
+    const auto found = value.find(key);
+    const bool is_known = found != value.end() && found->is_number_unsigned();
+    return is_known ? store_era(found->get<std::uint64_t>()) : store_era();
+}
+
 std::string text_at(const json& value, const char* key)
 {
     const auto found = value.find(key);
@@ -73,6 +80,14 @@
     return found == values.end() ? 0 : http_head::parse_number(found->second).value_or(0);
 }
 
+store_era era_in(const query_values& values, const char* name)
+{
+    const auto found = values.find(name);
+    const auto number =
+        found == values.end() ? std::nullopt : http_head::parse_number(found->second);
+    return number ? store_era(*number) : store_era();
+}
+
 std::string text_in(const query_values& values, const char* name)
 {
     const auto found = values.find(name);
@@ -88,6 +103,13 @@
     if (request.reported_plan_version > 0) {
         uri.addQueryParameter("reported_plan", std::to_string(request.reported_plan_version));
     }
+    if (request.plan_digest != 0) {
+        uri.addQueryParameter("plan_digest", std::to_string(request.plan_digest));
+        uri.addQueryParameter("reported_plan_digest", std::to_string(request.reported_plan_digest));
+    }
+    if (request.reported_era.is_known()) {
+        uri.addQueryParameter("reported_era", std::to_string(request.reported_era.number()));
+    }
     uri.addQueryParameter("digest", std::to_string(request.digest));
     uri.addQueryParameter("from", request.address);
     if (!request.position.start_id.empty()) {
@@ -116,6 +138,9 @@
         state_request request;
         request.plan_version = number_in(values, "plan");
         request.reported_plan_version = number_in(values, "reported_plan");
+        request.plan_digest = number_in(values, "plan_digest");
+        request.reported_plan_digest = number_in(values, "reported_plan_digest");
+        request.reported_era = era_in(values, "reported_era");
         request.digest = number_in(values, "digest");
         request.address = text_in(values, "from");
         request.position = {text_in(values, "start"), number_in(values, "change")};
@@ -136,6 +161,10 @@
                {"change", state.position.change},    {"fresh", state.is_fresh},
                {"reader", state.is_reader},          {"lost_store", state.has_lost_store},
                {"complete", state.is_complete}};
+    if (state.era.is_known()) {
+        value["store_era"] = state.era.number();
+        value["plan_digest"] = state.plan_digest;
+    }
     if (!state.fresh_daemons.empty()) {
         value["fresh_daemons"] = state.fresh_daemons;
     }
@@ -159,6 +188,8 @@
     }
     peer_state state;
     state.plan_version = number_at(value, "plan_version");
+    state.plan_digest = number_at(value, "plan_digest");
+    state.era = era_at(value, "store_era");
     state.position = {text_at(value, "start"), number_at(value, "change")};
     state.is_fresh = flag_at(value, "fresh");
     state.is_reader = flag_at(value, "reader");
--- a/src/relay/peer_state.h
+++ b/src/relay/peer_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/owner_record.h"
+#include "fleet/store_era.h"
 
 #include <chrono>
 #include <cstdint>
@@ -24,6 +25,10 @@
     std::uint64_t plan_version = 0;
     /// The newest version that the peer has reported; it does not report it again.
     std::uint64_t reported_plan_version = 0;
+    std::uint64_t plan_digest = 0; ///< Of the plan in force; see plan_index::digest().
+    /// Of the plan in the last response of the peer; 0 when it was not sent.
+    std::uint64_t reported_plan_digest = 0;
+    store_era reported_era;   ///< In the last response of the peer.
     std::uint64_t digest = 0; ///< Of the known owners; see owner_directory::digest().
     std::string address;      ///< Where peers reach the requesting daemon.
     change_position position; ///< In the changes of the peer, when it is followed.
@@ -37,6 +42,10 @@
 struct peer_state {
     /// Of the plan in force at the peer, 0 without one; plan_fetcher fetches its contents.
     std::uint64_t plan_version = 0;
+    /// Of that plan; sent when the store names its era, since a version of the plan may be written
+    /// again with other contents after the store has come back from a copy. 0 when it is not sent.
+    std::uint64_t plan_digest = 0;
+    store_era era; ///< Of the store, as the peer knows it.
     std::vector<owner_record> owners;
     change_position position; ///< After these changes.
     bool is_fresh = false;    ///< The peer reads the store, and the store responds to it.
--- a/src/relay/peer_sync.cpp
+++ b/src/relay/peer_sync.cpp
@@ -41,7 +41,8 @@
       m_server(context,
                {[this] { return m_role.is_reader() && m_hooks.is_synced_with_store(); },
                 [this] { return m_role.is_reader(); }, [this] { return has_lost_store(); },
-                [this] { return m_hooks.is_complete(); }, [this] { return m_readers.fresh(); }},
+                [this] { return m_hooks.is_complete(); }, [this] { return m_hooks.era(); },
+                [this] { return m_readers.fresh(); }},
                make_start_id(m_random)),
       m_role(context.loop.time()),
       m_readers(context, [this](const auto& state, const auto& peer) { apply_state(state, peer); }),
@@ -55,6 +56,11 @@
           random_engine(m_random())),
       m_plan_server(context, link_rate),
       m_announcer(context, random_engine(m_random())),
+      m_restores(context,
+                 {[this] { return m_hooks.era(); },
+                  [this](store_era era) { m_hooks.verify_record(era); },
+                  [this] { m_hooks.read_other_plan(); }},
+                 random_engine(m_random())),
       m_plan_source_changed_at(context.now())
 {
 }
@@ -181,6 +187,12 @@
     }
 }
 
+void peer_sync::on_store_restored()
+{
+    m_restores.on_era_changed();
+    m_server.on_state_change();
+}
+
 // Deferred, since the store may be in the middle of a callback.
 void peer_sync::on_store_probed()
 {
@@ -238,6 +250,7 @@
         m_hooks.owners(state.owners);
     }
     m_fetcher.on_newer_version(state.plan_version, peer);
+    m_restores.on_peer_state(state);
     if (state.is_complete) {
         m_hooks.owners_complete();
     }
--- a/src/relay/peer_sync.h
+++ b/src/relay/peer_sync.h
@@ -11,6 +11,7 @@
 #include "relay/state_poller.h"
 #include "relay/state_server.h"
 #include "relay/store_reader_role.h"
+#include "relay/store_restore_responder.h"
 
 #include <functional>
 #include <memory>
@@ -41,6 +42,10 @@
         std::function<bool()> is_synced_with_store;
         /// @return true when all owners are known.
         std::function<bool()> is_complete;
+        std::function<store_era()> era;               ///< See fleet_store::era().
+        std::function<void(store_era)> verify_record; ///< See fleet_store::verify_record().
+        /// Reads a plan from the store that has the version in force and other contents.
+        std::function<void()> read_other_plan;
     };
 
     /// @param context shared state; must outlive this object.
@@ -68,6 +73,9 @@
     /// Called when the store has started or stopped responding to this daemon.
     void on_store_change() { update(); }
 
+    /// Called when the store has come back from an older copy.
+    void on_store_restored();
+
     /// Called when the store has responded to a probe.
     void on_store_probed();
 
@@ -114,6 +122,7 @@
     plan_fetcher m_fetcher;
     plan_server m_plan_server;
     plan_announcer m_announcer;
+    store_restore_responder m_restores;
     int m_ticks = 0;
     bool m_local_owners_known = false;
     bool m_was_fresh = false;
--- a/src/relay/plan_change_source.h
+++ b/src/relay/plan_change_source.h
@@ -28,6 +28,9 @@
     /// @return version that the change leads to.
     std::uint64_t version() const { return m_plan->version(); }
 
+    /// @return checksum of the contents that the change leads to.
+    std::uint64_t digest() const { return m_plan->digest(); }
+
     /// @return true when one page holds the change.
     bool is_single_page() const { return m_parts.size() <= parts_per_page; }
 
--- a/src/relay/plan_server.cpp
+++ b/src/relay/plan_server.cpp
@@ -80,6 +80,11 @@
         const bool is_in_log = m_context.plans.knows_changes_since(request.base_version);
         const auto base = is_in_log ? request.base_version : 0;
         found = find(base, m_context.plan_version());
+        if (found != m_sources.end() && found->digest() != m_context.plans.in_force()->digest()) {
+            // The version has been written again with other contents.
+            m_sources.erase(found);
+            found = m_sources.end();
+        }
         if (found == m_sources.end()) {
             found = m_sources.emplace(m_sources.begin(), m_context.plans, base);
         }
--- a/src/relay/plan_updater.cpp
+++ b/src/relay/plan_updater.cpp
@@ -24,11 +24,12 @@
 void plan_updater::apply_document(const plan_document& document)
 {
     const auto replaced = m_context.plan_version();
-    const bool is_known = document.version <= std::max(replaced, m_context.unreadable_plan_version);
-    m_context.metrics.record_plan_document(is_known ? "known" : "used", document.text.size());
-    if (is_known) {
+    const bool is_seen = is_known(document);
+    m_context.metrics.record_plan_document(is_seen ? "known" : "used", document.text.size());
+    if (is_seen) {
         return;
     }
+    m_compares_contents = false;
     const auto started_at = m_context.now();
     const auto decoded = m_decode(document);
     if (!decoded) {
@@ -38,6 +39,9 @@
                                                      {"error", decoded.error()}});
         return;
     }
+    if (is_in_force(*decoded)) {
+        return;
+    }
     record_errors(*decoded);
     m_context.plans.replace(*decoded);
     m_context.log.note_state("plan_read", {{"version", std::to_string(document.version)},
@@ -46,6 +50,26 @@
     on_replaced(replaced, "");
 }
 
+// Decoding a document takes long, so contents are compared only after a sign of a restore. A store
+// that names no era does not come back from a copy.
+bool plan_updater::is_known(const plan_document& document)
+{
+    const auto newest = std::max(m_context.plan_version(), m_context.unreadable_plan_version);
+    const bool is_new_era = m_era && *m_era != document.era;
+    m_era = document.era;
+    if (is_new_era || document.version < newest) {
+        m_compares_contents = document.era.is_known();
+    }
+    const bool is_other = document.version == newest && m_compares_contents;
+    return document.version <= newest && !is_other;
+}
+
+bool plan_updater::is_in_force(const routing_plan& plan) const
+{
+    return plan.version == m_context.plan_version() &&
+           plan_index(plan).digest() == m_context.plans.in_force()->digest();
+}
+
 bool plan_updater::apply_change(const plan_change& change, const std::string& peer)
 {
     const auto replaced = m_context.plan_version();
--- a/src/relay/plan_updater.h
+++ b/src/relay/plan_updater.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -28,10 +29,15 @@
     /// @param on_replaced called when another plan is in force.
     plan_updater(relay_context& context, document_decoder decode, replaced_hook on_replaced);
 
-    /// Puts a document of the store in force, if it is newer and can be decoded.
+    /// Puts a document of the store in force if it can be decoded and is newer, or has the version
+    /// in force with other contents after the store has come back from a copy.
     /// @param document the document.
     void apply_document(const plan_document& document);
 
+    /// Called when a peer has other contents than this daemon under the version in force: the next
+    /// document with that version is compared.
+    void expect_other_contents() { m_compares_contents = true; }
+
     /// Puts the plan that results from a change in force.
     /// @param change the change.
     /// @param peer address of the peer that sent it.
@@ -39,12 +45,18 @@
     bool apply_change(const plan_change& change, const std::string& peer);
 
 private:
+    bool is_known(const plan_document& document);
+    bool is_in_force(const routing_plan& plan) const;
     void record_errors(const routing_plan& plan);
     void on_replaced(std::uint64_t replaced_version, const std::string& peer);
 
     relay_context& m_context;
     document_decoder m_decode;
     replaced_hook m_on_replaced;
+    std::optional<store_era> m_era; ///< Of the store, at the latest document.
+    /// The store has come back from a copy, or had an older plan than the one in force, so the next
+    /// document with the version in force may have other contents.
+    bool m_compares_contents = false;
 };
 
 } // namespace galenaroad
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -65,6 +65,24 @@
         .Increment();
 }
 
+void relay_metrics::record_store_restore(std::uint64_t era)
+{
+    m_registry.gauge("galenaroad_store_era", "Era of the store since its latest restore.", {})
+        .Set(static_cast<double>(era));
+    m_registry
+        .counter("galenaroad_store_restores_total",
+                 "Times at which the store came back from an older copy.", {})
+        .Increment();
+}
+
+void relay_metrics::record_rewritten_record()
+{
+    m_registry
+        .counter("galenaroad_own_records_rewritten_total",
+                 "Times at which the store had lost the record of this daemon.", {})
+        .Increment();
+}
+
 void relay_metrics::record_health_report(const std::string& outcome)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -48,6 +48,13 @@
     /// @param outcome `ok` or what went wrong.
     void record_store_call(const std::string& call, const std::string& outcome);
 
+    /// Records that the store has come back from an older copy.
+    /// @param era number of its era since then.
+    void record_store_restore(std::uint64_t era);
+
+    /// Records that the store had lost this owner's record, which is written again.
+    void record_rewritten_record();
+
     /// Records a health report message.
     /// @param outcome `sent`, `received`, `unreadable` or `not_sent`.
     void record_health_report(const std::string& outcome);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -121,6 +121,7 @@
                      [this](std::uint64_t replaced_version, const std::string& peer) {
                          on_plan_replaced(replaced_version, peer);
                      }),
+      m_restart_check(m_settings.location.address),
       m_sync(m_context, make_sync_hooks(), random_engine(random()), m_settings.link_rate),
       m_health_reports(m_context, random_engine(random())),
       m_entry_server(m_dependencies.loop, limits_for({}, m_settings),
@@ -140,7 +141,7 @@
     hooks.owners = [this](const auto& records) { merge_owners(records); };
     hooks.owners_complete = [this] {
         on_all_owners_listed();
-        if (m_peers_are_up_to_date) {
+        if (m_restart_check.peers_are_up_to_date()) {
             finish_restore("peer");
         }
     };
@@ -157,6 +158,12 @@
                m_context.plan_version() > 0;
     };
     hooks.is_complete = [this] { return m_owners_listed; };
+    hooks.era = [this] { return m_dependencies.store.era(); };
+    hooks.verify_record = [this](store_era era) { m_dependencies.store.verify_record(era); };
+    hooks.read_other_plan = [this] {
+        m_plan_updater.expect_other_contents();
+        m_dependencies.store.probe();
+    };
     return hooks;
 }
 
@@ -179,7 +186,10 @@
 {
     fleet_store::hooks hooks;
     hooks.plan = [this](const plan_document& document) { m_plan_updater.apply_document(document); };
-    hooks.owners = [this](const auto& records) { merge_owners(records); };
+    hooks.owners = [this](const auto& records) {
+        m_restart_check.on_records(records, m_dependencies.store.era());
+        merge_owners(records);
+    };
     hooks.owner_removed = [this](const std::string& address) {
         if (address != m_settings.location.address) {
             m_context.directory.remove(address);
@@ -201,6 +211,7 @@
     };
     hooks.own_record_found = [this](const auto& record) { on_own_record_found(record); };
     hooks.plan_watch_health_changed = [this] { m_sync.on_store_change(); };
+    hooks.era_changed = [this] { m_sync.on_store_restored(); };
     hooks.probe_succeeded = [this] { m_sync.on_store_probed(); };
     m_dependencies.store.start(std::move(hooks));
     list_local_owners_after(m_settings.first_list_delay * list_delay_factor_without_heartbeat);
@@ -311,6 +322,7 @@
 // found.
 void relay_node::on_own_record_found(const owner_record& record)
 {
+    m_restart_check.on_records({record}, m_dependencies.store.era());
     if (!is_from_future(record)) {
         restore(record);
         m_context.directory.merge(record);
@@ -322,7 +334,7 @@
 
 void relay_node::finish_restore(const char* source)
 {
-    if (!m_context.owned.lifecycle().is_restoring()) {
+    if (!m_context.owned.lifecycle().is_restoring() || m_restart_check.may_lack_departure()) {
         return;
     }
     m_context.owned.finish_restore();
@@ -338,7 +350,13 @@
 void relay_node::trust_peers_later()
 {
     m_dependencies.loop.after(max_record_delay, [this] {
-        m_peers_are_up_to_date = true;
+        const bool was_in_doubt = m_restart_check.may_lack_departure();
+        m_restart_check.on_peers_up_to_date();
+        if (was_in_doubt && m_context.owned.lifecycle().state() != announced_state::none) {
+            // Records written in this era are not in doubt at the next start.
+            m_published.address.clear();
+            announce(current_record());
+        }
         if (m_owners_listed) {
             finish_restore("peer");
         }
@@ -378,6 +396,9 @@
 {
     const bool is_tentative =
         m_context.owned.lifecycle().is_restoring() && record.state == announced_state::ready;
+    if (is_tentative && m_restart_check.may_lack_departure()) {
+        return;
+    }
     if (!has_same_content(m_published, record)) {
         const auto now = unix_ms(m_dependencies.loop.time().system_now());
         // The wall clock may step back; the revision never does.
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fleet_store.h"
+#include "fleet/restart_record_check.h"
 #include "net/http_server.h"
 #include "relay/acknowledgement_queue.h"
 #include "relay/entry_exchange.h"
@@ -124,6 +125,7 @@
     http_client m_upstream_client;
     relay_context m_context;
     plan_updater m_plan_updater;
+    restart_record_check m_restart_check;
     peer_sync m_sync;
     health_report_exchange m_health_reports;
     http_server m_entry_server;
@@ -140,8 +142,6 @@
     bool m_has_requested_local_owners = false;
     bool m_owners_listed = false;             ///< By the store, or by a peer with all of them.
     bool m_store_listing_is_complete = false; ///< Since the store is watched.
-    /// The records of peers include what an earlier start of this daemon has announced.
-    bool m_peers_are_up_to_date = false;
     bool m_is_stopping = false;
 };
 
--- a/src/relay/state_server.cpp
+++ b/src/relay/state_server.cpp
@@ -59,7 +59,24 @@
 bool state_server::has_urgent_change(const state_request& request) const
 {
     const auto known = std::max(request.plan_version, request.reported_plan_version);
-    return m_context.plan_version() > known || m_hooks.is_fresh() != request.was_fresh;
+    return m_context.plan_version() > known || m_hooks.is_fresh() != request.was_fresh ||
+           has_other_era(request) || has_other_plan(request);
+}
+
+// Peers that have not been told an era ask without one, and get it with their next response.
+bool state_server::has_other_era(const state_request& request) const
+{
+    return request.reported_era.is_known() && request.reported_era != m_hooks.era();
+}
+
+// Only a store with eras makes a version of the plan appear with other contents.
+bool state_server::has_other_plan(const state_request& request) const
+{
+    if (request.plan_digest == 0 || request.plan_version != m_context.plan_version()) {
+        return false;
+    }
+    const auto digest = m_context.plans.in_force()->digest();
+    return digest != request.plan_digest && digest != request.reported_plan_digest;
 }
 
 bool state_server::has_change(const state_request& request) const
@@ -73,6 +90,10 @@
 {
     peer_state state;
     state.plan_version = m_context.plan_version();
+    state.era = m_hooks.era();
+    if (state.era.is_known() && state.plan_version > 0) {
+        state.plan_digest = m_context.plans.in_force()->digest();
+    }
     state.owners = owners_for(request);
     state.position = {m_start_id, m_context.directory.latest_change()};
     state.is_fresh = m_hooks.is_fresh();
--- a/src/relay/state_server.h
+++ b/src/relay/state_server.h
@@ -21,6 +21,7 @@
         std::function<bool()> is_reader;      ///< The daemon reads the store.
         std::function<bool()> has_lost_store; ///< See peer_state.
         std::function<bool()> is_complete;    ///< The daemon knows all owners.
+        std::function<store_era()> era;       ///< Of the store; see fleet_store::era().
         /// @return daemons that this daemon knows to be fresh.
         std::function<std::vector<std::string>()> fresh_daemons;
     };
@@ -50,6 +51,8 @@
     };
 
     bool has_urgent_change(const state_request& request) const;
+    bool has_other_era(const state_request& request) const;
+    bool has_other_plan(const state_request& request) const;
     bool has_change(const state_request& request) const;
     void respond(server_exchange& client, const state_request& request) const;
     std::vector<owner_record> owners_for(const state_request& request) const;
--- a/src/tests/owner_directory_test.cpp
+++ b/src/tests/owner_directory_test.cpp
@@ -73,3 +73,17 @@
     const auto list = '[' + owner_record_codec::encode(original) + ",{\"address\":1},5]";
     CHECK(owner_record_codec::decode_all(nlohmann::json::parse(list)).size() == 1);
 }
+
+TEST_CASE("owner_directory: a removed record is not stored again", "[fleet]")
+{
+    // Guards against owners that are gone and come back with an older copy of the store. A new
+    // start at the same address has a later record.
+    owner_directory directory;
+    directory.merge(record("a", 5, announced_state::ready));
+    directory.remove("a");
+    CHECK_FALSE(directory.merge(record("a", 5, announced_state::ready)));
+    CHECK_FALSE(directory.merge(record("a", 4, announced_state::ready)));
+    CHECK(directory.find("a") == nullptr);
+    CHECK(directory.merge(record("a", 6, announced_state::ready)));
+    CHECK(directory.find("a") != nullptr);
+}
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -85,6 +85,10 @@
         }
     }
 
+    void verify_record(store_era /*era*/) override {}
+
+    store_era era() const override { return {}; }
+
     bool is_plan_watch_healthy() const override { return m_follows && !m_shared.is_unreachable; }
 
     void deliver_plan(const plan_document& plan) { m_hooks.plan(plan); }
--- a/src/tests/upstream_lifecycle_test.cpp
+++ b/src/tests/upstream_lifecycle_test.cpp
@@ -258,3 +258,26 @@
         }
     }));
 }
+
+TEST_CASE("upstream_lifecycle: of a record that is older than a restored one, departures count",
+          "[fleet]")
+{
+    // Guards against a store that has come back from a copy: its record of an earlier upstream
+    // replaced the departure that peers had told, which the next record then lacked.
+    upstream_lifecycle lifecycle;
+    lifecycle.begin_restore();
+    auto known = record(announced_state::draining, 9);
+    known.revision = 8;
+    lifecycle.restore(known);
+    auto earlier = record(announced_state::left, 3);
+    earlier.upstream_id = "i-0";
+    earlier.start_time_ms = 50;
+    earlier.revision = 7;
+    lifecycle.restore(earlier);
+    lifecycle.finish_restore();
+    CHECK(lifecycle.latest().id == "i-1");
+    CHECK(lifecycle.state() == announced_state::draining);
+    lifecycle.on_heartbeat(heartbeat("i-0", 50, 9));
+    CHECK(lifecycle.latest().id == "i-1");
+    CHECK(lifecycle.serving() == nullptr);
+}
