Restore the store from older copies in the soak

Two promises more: ROW, a daemon's row is back 2 s after the return; BACK, a daemon does not lose a route that it has served. Both have a planted fault in soak_history_test.

--- a/src/tests/soak/soak_fleet.cpp
+++ b/src/tests/soak/soak_fleet.cpp
@@ -3,6 +3,7 @@
 #include "support/free_address.h"
 #include "wire_names.h"
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -20,6 +21,7 @@
 constexpr auto restart_delay = 200ms;
 constexpr auto grace_period = 6s;
 constexpr int services = 2;
+constexpr std::array<std::chrono::milliseconds, 3> copy_ages{1s, 5s, 15s};
 
 std::string service_name(int index)
 {
@@ -113,7 +115,8 @@
             plan["services"][service_name(index)] = {{"health_path", "/health"}};
         }
     }
-    m_store->write(wire::operator_table, wire::plan_key, plan.dump());
+    m_plan_text = plan.dump();
+    m_store->write(wire::operator_table, wire::plan_key, m_plan_text);
     m_history.plans[m_plan_version] = m_clock.steady_now();
 }
 
@@ -312,7 +315,11 @@
 void soak_fleet::disturb_store()
 {
     const auto length = std::chrono::milliseconds(any(300, 2500));
-    const int kind = any(0, 3);
+    const int kind = any(0, 4);
+    if (kind == 4) {
+        restore_store();
+        return;
+    }
     if (kind == 3) {
         note("new plan " + std::to_string(m_plan_version + 1));
         store_plan();
@@ -326,6 +333,56 @@
     after(length, [this] { m_store->set_fault(soak_store::fault::none); });
 }
 
+// The store is away for a moment and comes back from a copy; later the operators write their plan
+// again.
+void soak_fleet::restore_store()
+{
+    const auto age = copy_ages.at(static_cast<std::size_t>(any(0, 2)));
+    const auto away = std::chrono::milliseconds(any(100, 1500));
+    const auto rewrite = std::chrono::milliseconds(any(100, 1500));
+    note("store away for " + std::to_string(away.count()) + " ms, back from a copy " +
+         std::to_string(age.count()) + " ms old, plan written again after " +
+         std::to_string(rewrite.count()) + " ms");
+    if (any(0, 1) == 0) {
+        note("new plan " + std::to_string(m_plan_version + 1));
+        store_plan();
+    }
+    disturb("store", away);
+    m_store->set_fault(soak_store::fault::refuses);
+    after(away, [this, age, rewrite] {
+        std::map<std::string, std::uint64_t> revisions;
+        for (const auto& each : m_members) {
+            revisions[each->name] = stored_revision(*each);
+        }
+        m_store->set_fault(soak_store::fault::none);
+        const bool is_plan_lost = m_store->restore(age).has_value();
+        check_rows_later(std::move(revisions));
+        if (is_plan_lost) {
+            after(rewrite,
+                  [this] { m_store->write(wire::operator_table, wire::plan_key, m_plan_text); });
+        }
+    });
+}
+
+void soak_fleet::check_rows_later(std::map<std::string, std::uint64_t> revisions)
+{
+    const auto returned = m_clock.steady_now();
+    after(soak_history::row_time, [this, returned, revisions = std::move(revisions)] {
+        for (const auto& each : m_members) {
+            const bool is_back = stored_revision(*each) >= revisions.at(each->name);
+            m_history.rows.push_back({each->name, returned, m_clock.steady_now(), is_back});
+        }
+    });
+}
+
+// Returns 0 without a row.
+std::uint64_t soak_fleet::stored_revision(const member& of) const
+{
+    const auto row =
+        nlohmann::json::parse(m_store->value_of("galenaroad_owners", of.announced), nullptr, false);
+    return row.is_object() ? row.value("revision", std::uint64_t{0}) : 0;
+}
+
 void soak_fleet::disturb_upstream(member& each, int kind)
 {
     if (kind == 0) {
--- a/src/tests/soak/soak_fleet.h
+++ b/src/tests/soak/soak_fleet.h
@@ -8,6 +8,7 @@
 #include "soak/soak_upstream.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -50,6 +51,9 @@
     void add_member(int index);
     void write_settings(const member& each) const;
     void store_plan();
+    void restore_store();
+    void check_rows_later(std::map<std::string, std::uint64_t> revisions);
+    std::uint64_t stored_revision(const member& of) const;
     void send_requests();
     void send_request();
     void inject();
@@ -80,6 +84,7 @@
     std::vector<std::string> m_faults;
     steady_time m_start;
     std::uint64_t m_plan_version = 0;
+    std::string m_plan_text; ///< Of the operators' newest plan.
     bool m_is_ending = false;
 };
 
--- a/src/tests/soak/soak_history.cpp
+++ b/src/tests/soak/soak_history.cpp
@@ -24,6 +24,7 @@
         check_execution(request, by_request, found);
         check_answer(request, found);
         check_plan(request, found);
+        check_plan_kept(request, found);
         check_kept(request, by_request, found);
         check_stop(request, by_request, found);
     }
@@ -34,9 +35,23 @@
                             " after its departure was acknowledged");
         }
     }
+    for (const auto& row : rows) {
+        check_row(row, found);
+    }
     return found;
 }
 
+void soak_history::check_row(const soak_row_check& row, std::vector<std::string>& found) const
+{
+    const auto from = row.returned - contact_time;
+    const bool is_excused = is_disturbed(row.daemon, from, row.checked) ||
+                            is_disturbed(row.daemon + "/store", from, row.checked) ||
+                            is_disturbed("store", row.returned, row.checked);
+    if (!row.is_back && !is_excused) {
+        found.push_back("ROW of " + row.daemon + " was not back after the store had come back");
+    }
+}
+
 void soak_history::check_execution(const soak_request& request, const runs_by_request& all,
                                    std::vector<std::string>& found) const
 {
@@ -79,6 +94,26 @@
     }
 }
 
+// A daemon that has served a route does not lose it, whatever the store has: routes are never taken
+// away here.
+void soak_history::check_plan_kept(const soak_request& request,
+                                   std::vector<std::string>& found) const
+{
+    if (request.status != 404) {
+        return;
+    }
+    const bool has_served = std::any_of(requests.begin(), requests.end(), [&](const auto& each) {
+        return each.daemon == request.daemon && each.status == 200 &&
+               each.version >= request.version && each.ended < request.sent &&
+               !is_disturbed(request.daemon, each.ended, request.ended);
+    });
+    if (has_served) {
+        found.push_back("BACK " + request.id + " got 404 on a route of version " +
+                        std::to_string(request.version) + " that " + request.daemon +
+                        " had served");
+    }
+}
+
 // The answer of an order is delivered although connections between daemons were lost.
 void soak_history::check_kept(const soak_request& request, const runs_by_request& all,
                               std::vector<std::string>& found) const
--- a/src/tests/soak/soak_history.h
+++ b/src/tests/soak/soak_history.h
@@ -44,6 +44,14 @@
     bool is_planned_stop = false;
 };
 
+/// Whether a daemon's row was back a while after the store had come back from an older copy.
+struct soak_row_check {
+    std::string daemon;
+    steady_time returned; ///< When the store came back.
+    steady_time checked;
+    bool is_back = false; ///< The row is there, not older than before the store went away.
+};
+
 /// What a soak run recorded, and the promises that it is judged by. Shares no code with the
 /// product; bounds come from the users' pages.
 class soak_history {
@@ -54,12 +62,15 @@
     static constexpr auto change_time = std::chrono::milliseconds(2000);
     /// Time in which an answer is fetched after its connection was lost.
     static constexpr auto fetch_time = std::chrono::milliseconds(2200);
+    /// Time after the return of the store in which the rows of daemons that reach it are back.
+    static constexpr auto row_time = std::chrono::milliseconds(2000);
     /// Time after a disturbance in which bounded times do not hold yet.
     static constexpr auto contact_time = std::chrono::milliseconds(3000);
 
     std::vector<soak_request> requests;
     std::vector<soak_run> runs;
     std::vector<soak_disturbance> disturbances;
+    std::vector<soak_row_check> rows;
     std::map<std::string, steady_time> departures; ///< Acknowledged, by upstream.
     std::map<std::uint64_t, steady_time> plans;    ///< Stored, by version.
 
@@ -73,10 +84,12 @@
                          std::vector<std::string>& found) const;
     void check_answer(const soak_request& request, std::vector<std::string>& found) const;
     void check_plan(const soak_request& request, std::vector<std::string>& found) const;
+    void check_plan_kept(const soak_request& request, std::vector<std::string>& found) const;
     void check_kept(const soak_request& request, const runs_by_request& all,
                     std::vector<std::string>& found) const;
     void check_stop(const soak_request& request, const runs_by_request& all,
                     std::vector<std::string>& found) const;
+    void check_row(const soak_row_check& row, std::vector<std::string>& found) const;
     bool is_disturbed(const std::string& part, steady_time from, steady_time until) const;
 };
 
--- a/src/tests/soak_history_test.cpp
+++ b/src/tests/soak_history_test.cpp
@@ -53,6 +53,26 @@
         at.history.runs.push_back({"q", "j", "f", at.start + 60ms, true, true, at.start + 90ms});
         CHECK(at.finds("TWICE"));
     }
+    SECTION("a daemon goes back to an earlier plan")
+    {
+        auto later = at.request();
+        later.id = "r";
+        later.sent = at.start + 1s;
+        later.ended = at.start + 1100ms;
+        later.status = 404;
+        at.history.requests.push_back(later);
+        at.history.disturbances.push_back({"store", at.start, at.start + 1s});
+        CHECK(at.finds("BACK"));
+        at.history.disturbances.push_back({"d", at.start + 500ms, at.start + 600ms});
+        CHECK(at.history.violations().empty());
+    }
+    SECTION("a row is not back after a restore of the store")
+    {
+        at.history.rows.push_back({"d", at.start, at.start + 2s, false});
+        CHECK(at.finds("ROW"));
+        at.history.disturbances.push_back({"d/store", at.start - 1s, at.start});
+        CHECK(at.history.violations().empty());
+    }
     SECTION("an order is refused and has run")
     {
         at.request().status = 503;
