--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -52,8 +52,7 @@
 {
     m_registry
         .counter("galenaroad_identity_refusals_total",
-                 "Requests that could not be attributed to a client account.",
-                 {{"reason", reason}})
+                 "Requests that could not be attributed to a client account.", {{"reason", reason}})
         .Increment();
 }
 
