--- a/src/experiment/relay_experiment.cpp
+++ b/src/experiment/relay_experiment.cpp
@@ -1,10 +1,13 @@
 #include "experiment/relay_replay.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <functional>
 #include <iomanip>
 #include <iostream>
+#include <map>
+#include <vector>
 
 namespace {
 
@@ -40,6 +43,21 @@
         [](auto& made) { made.policy.failures.decay_time = std::chrono::milliseconds(1); });
     add("never waits", [](auto& made) { made.may_wait = false; });
     add("long waits", [](auto& made) { made.policy.standing_queue_time = std::chrono::hours(1); });
+    // What a full queue weighs when it turns requests away.
+    const slot_queue_policy nothing{false, false, false};
+    add("order before", [&](auto& made) { made.policy.queue = nothing; });
+    add("work only", [&](auto& made) {
+        made.policy.queue = nothing;
+        made.policy.queue.weighs_work = true;
+    });
+    add("accounts only", [&](auto& made) {
+        made.policy.queue = nothing;
+        made.policy.queue.weighs_accounts = true;
+    });
+    add("under way only", [&](auto& made) {
+        made.policy.queue = nothing;
+        made.policy.queue.spares_under_way = true;
+    });
     return versions;
 }
 
@@ -126,10 +144,79 @@
               << of.far_mb / seeds << std::setw(8) << of.floor / seeds << '\n';
 }
 
+/// Served share of each kind, and of accounts, over all seeds.
+class served_shares {
+public:
+    void add(const replay_result& result)
+    {
+        for (const auto& [name, counts] : result.kinds) {
+            add(m_kinds[name], counts);
+        }
+        for (const auto& [name, counts] : result.accounts) {
+            add(m_accounts[name], counts);
+        }
+    }
+
+    void print() const
+    {
+        std::cout << std::setprecision(3);
+        for (const auto& [name, counts] : m_kinds) {
+            std::cout << "    " << name << " " << share(counts) << ", late-weighed "
+                      << counts.worth() << '\n';
+        }
+        if (!m_accounts.empty()) {
+            print_accounts();
+        }
+    }
+
+private:
+    static void add(replay_counts& to, const replay_counts& counts)
+    {
+        to.asked += counts.asked;
+        to.served += counts.served;
+        to.owed += counts.owed;
+        to.credit += counts.credit;
+    }
+
+    static double share(const replay_counts& counts)
+    {
+        return static_cast<double>(counts.served) / static_cast<double>(std::max(counts.asked, 1L));
+    }
+
+    void print_accounts() const
+    {
+        std::vector<replay_counts> accounts;
+        for (const auto& each : m_accounts) {
+            accounts.push_back(each.second);
+        }
+        std::sort(accounts.begin(), accounts.end(),
+                  [](const auto& a, const auto& b) { return share(a) < share(b); });
+        replay_counts worst;
+        for (std::size_t i = 0; i < (accounts.size() + 9) / 10; ++i) {
+            add(worst, accounts[i]);
+        }
+        const auto busiest =
+            std::max_element(accounts.begin(), accounts.end(),
+                             [](const auto& a, const auto& b) { return a.asked < b.asked; });
+        replay_counts others;
+        for (const auto& each : accounts) {
+            add(others, each);
+        }
+        others.asked -= busiest->asked;
+        others.served -= busiest->served;
+        std::cout << "    accounts: busiest " << share(*busiest) << " of " << busiest->asked
+                  << ", others " << share(others) << ", worst tenth " << share(worst) << '\n';
+    }
+
+    std::map<std::string, replay_counts> m_kinds;
+    std::map<std::string, replay_counts> m_accounts;
+};
+
 /// What is played of each replay.
 struct selection {
     std::uint64_t seeds = 0;
     std::string version; ///< Empty for all of them.
+    bool shows_shares = false;
 };
 
 void compare(const std::string& path, const world& played, const selection& selected)
@@ -145,10 +232,16 @@
             continue;
         }
         sums total;
+        served_shares shares;
         for (std::uint64_t seed = 1; seed <= selected.seeds; ++seed) {
-            total.add(relay_replay(scenario, version, seed).run());
+            const auto result = relay_replay(scenario, version, seed).run();
+            total.add(result);
+            shares.add(result);
         }
         print_line(version.name, total, static_cast<double>(selected.seeds));
+        if (selected.shows_shares) {
+            shares.print();
+        }
     }
 }
 
@@ -162,6 +255,7 @@
                           cxxopts::value<std::vector<std::string>>())(
         "seeds", "seeds of each replay", cxxopts::value<std::uint64_t>()->default_value("10"))(
         "version", "plays this version only", cxxopts::value<std::string>()->default_value(""))(
+        "shares", "also prints the served share of kinds and accounts")(
         "worlds", "also plays worlds that differ by ten times from the recorded one");
     options.parse_positional("replays");
     try {
@@ -173,7 +267,8 @@
         for (const auto& path : given["replays"].as<std::vector<std::string>>()) {
             for (const auto& each : worlds) {
                 compare(path, each,
-                        {given["seeds"].as<std::uint64_t>(), given["version"].as<std::string>()});
+                        {given["seeds"].as<std::uint64_t>(), given["version"].as<std::string>(),
+                         given.count("shares") > 0});
             }
         }
         std::cout << "\nworth: as the users weigh it, without prices; refused*: while an upstream "
--- a/src/experiment/relay_replay.cpp
+++ b/src/experiment/relay_replay.cpp
@@ -38,6 +38,7 @@
     steady_time goal;
     steady_time deadline;
     end_hook on_end; ///< Of a call; empty for a client's request.
+    std::string account;
     int attempts = 0;
     int sent = 0;
     int outstanding = 0;
@@ -122,6 +123,10 @@
     asked->deadline = std::min(deadline, asked->arrived + of.deadline);
     asked->goal = std::min(asked->deadline, asked->arrived + of.goal);
     asked->on_end = std::move(on_end);
+    asked->account = of.account;
+    if (of.accounts > 0) {
+        asked->account = std::to_string(random_account(of));
+    }
     asked->search.begin(m_scenario.services[of.service].name, of.answer_bytes);
     ++m_result.requests;
     m_loop.after(asked->deadline - asked->arrived, [this, asked] { end(asked, "failed"); });
@@ -185,6 +190,8 @@
     attempt_metadata order;
     order.service = m_scenario.services[of.service].name;
     order.route = of.name;
+    order.account = asked->account;
+    order.caller_service = asked->on_end ? "caller" : "";
     order.remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(asked->deadline - now - owner_margin);
     order.objective_remaining =
@@ -233,11 +240,11 @@
     m_loop.after(std::max<std::chrono::nanoseconds>(limit, 0ms), [this, made] {
         if (m_waiting.erase({made->at->place().index, made->ticket}) > 0) {
             made->at->owned.withdraw(made->ticket);
-            refuse(made, owner_reason::expired, made->at->owned.mean_service_time());
+            refuse(made, owner_reason::expired, made->at->owned.retry_after());
         }
     });
     for (const auto ticket : at.owned.take_unservable()) {
-        refuse(take_waiting(index, ticket), owner_reason::expired, at.owned.mean_service_time());
+        refuse(take_waiting(index, ticket), owner_reason::expired, at.owned.retry_after());
     }
 }
 
@@ -439,8 +446,12 @@
     const auto now = m_loop.steady_now();
     const auto window = static_cast<std::size_t>((asked.arrived - m_start) / window_length);
     const double credit = how != "served" ? 0 : now <= asked.goal ? of.worth : of.late_worth;
-    for (auto* const counts :
-         {&m_result.kinds[of.name], &m_result.all, &m_result.windows.at(window)}) {
+    std::vector<replay_counts*> counted{&m_result.kinds[of.name], &m_result.all,
+                                        &m_result.windows.at(window)};
+    if (!asked.account.empty()) {
+        counted.push_back(&m_result.accounts[asked.account]);
+    }
+    for (auto* const counts : counted) {
         ++counts->asked;
         counts->served += how == "served" ? 1 : 0;
         counts->refused += how == "refused" ? 1 : 0;
@@ -487,6 +498,16 @@
     return static_cast<std::size_t>(found - m_scenario.kinds.begin());
 }
 
+// The account of rank r sends in proportion to r to the power of minus the skew.
+int relay_replay::random_account(const replay_kind& of)
+{
+    std::vector<double> shares;
+    for (int rank = 1; rank <= of.accounts; ++rank) {
+        shares.push_back(std::pow(rank, -of.account_skew));
+    }
+    return std::discrete_distribution<int>(shares.begin(), shares.end())(m_random) + 1;
+}
+
 bool relay_replay::chance(double share)
 {
     return uniform(0, 1) < share;
--- a/src/experiment/relay_replay.h
+++ b/src/experiment/relay_replay.h
@@ -87,6 +87,7 @@
     bool has_free_slot(std::size_t service) const;
     std::chrono::nanoseconds way(std::size_t from, const replay_server& to) const;
     std::size_t kind_named(const std::string& name) const;
+    int random_account(const replay_kind& of);
     bool chance(double share);
     double uniform(double least, double greatest);
 
--- a/src/experiment/replay_result.h
+++ b/src/experiment/replay_result.h
@@ -22,7 +22,8 @@
 
 /// Measures of one replay.
 struct replay_result {
-    std::map<std::string, replay_counts> kinds; ///< Of clients.
+    std::map<std::string, replay_counts> kinds;    ///< Of clients.
+    std::map<std::string, replay_counts> accounts; ///< Of client accounts, by name.
     replay_counts all;
     std::vector<replay_counts> windows; ///< Of two seconds each.
     long attempts = 0;                  ///< Runs at upstreams, also of calls.
--- a/src/experiment/replay_scenario.cpp
+++ b/src/experiment/replay_scenario.cpp
@@ -82,6 +82,9 @@
     kind.late_worth = node["late_worth"].as<double>(0);
     kind.answer_bytes = node["answer_bytes"].as<double>();
     kind.calls = node["calls"].as<std::string>("");
+    kind.account = node["account"].as<std::string>("");
+    kind.accounts = node["accounts"].as<int>(0);
+    kind.account_skew = node["account_skew"].as<double>(0);
     kind.call_share = node["call_share"].as<double>(0);
     kind.call_count = node["call_count"].as<int>(1);
     return kind;
--- a/src/experiment/replay_scenario.h
+++ b/src/experiment/replay_scenario.h
@@ -30,9 +30,12 @@
     double worth = 0;      ///< Credit of an answer within the goal.
     double late_worth = 0; ///< Credit of a later one.
     double answer_bytes = 0;
-    std::string calls;     ///< Kind that its upstream calls while it works; empty for none.
-    double call_share = 0; ///< Part of the requests that make these calls.
-    int call_count = 1;    ///< Calls that such a request makes, one after the other.
+    std::string calls;       ///< Kind that its upstream calls while it works; empty for none.
+    double call_share = 0;   ///< Part of the requests that make these calls.
+    std::string account;     ///< The one client account that sends it, if not empty.
+    int accounts = 0;        ///< Client accounts that send it, named 1, 2 and so on; 0 for none.
+    double account_skew = 0; ///< Account n sends in proportion to n to the power of minus this.
+    int call_count = 1;      ///< Calls that such a request makes, one after the other.
 };
 
 /// Upstreams of a service that differ from the others for some time.
--- a/src/load/owned_upstream.cpp
+++ b/src/load/owned_upstream.cpp
@@ -32,6 +32,7 @@
                                owner_policy policy)
     : m_clock(time),
       m_policy(policy),
+      m_slots(policy.queue),
       m_estimator(policy.failures),
       m_settled_estimator(policy.failures),
       m_rejection_estimator(policy.failures),
@@ -81,6 +82,10 @@
     request.priority = metadata.priority;
     request.deadline = now + wait_limit(metadata);
     request.service_time = expected_service_time(metadata.route);
+    request.route = metadata.route;
+    request.account = metadata.account;
+    // A call between services belongs to a request that is already running.
+    request.is_under_way = metadata.attempt > 1 || !metadata.caller_service.empty();
     request.may_wait = metadata.may_wait ||
                        m_slots.expected_wait() <= metadata.objective_remaining * short_wait_share;
     const auto verdict = m_slots.admit(request, now);
@@ -144,8 +149,12 @@
 
 owner_decision owned_upstream::refusal(owner_reason reason) const
 {
-    const auto wait = std::max<std::chrono::milliseconds>(m_slots.expected_wait(), min_retry_after);
-    return {slot_verdict::refuse, reason, wait, 0};
+    return {slot_verdict::refuse, reason, retry_after(), 0};
+}
+
+std::chrono::milliseconds owned_upstream::retry_after() const
+{
+    return std::max<std::chrono::milliseconds>(m_slots.expected_wait(), min_retry_after);
 }
 
 bool owned_upstream::withdraw(std::uint64_t ticket)
--- a/src/load/owned_upstream.h
+++ b/src/load/owned_upstream.h
@@ -35,6 +35,7 @@
     /// `max_standing_queue_wait` in it delays all responses without serving more requests.
     std::chrono::milliseconds standing_queue_time{2000};
     std::chrono::milliseconds max_standing_queue_wait{1000};
+    slot_queue_policy queue; ///< What is weighed when not all waiting requests can be served.
 };
 
 /// Decision on a request for the owned upstream.
@@ -97,13 +98,16 @@
     /// @return the time within which a request must have waited and run.
     std::chrono::milliseconds wait_limit(const attempt_metadata& metadata) const;
 
-    /// Removes the waiting requests that can no longer be served in time.
+    /// Removes the waiting requests that are turned away because not all can be served in time.
     /// @return their tickets.
     std::vector<std::uint64_t> take_unservable()
     {
         return m_slots.take_unservable(m_clock.steady_now());
     }
 
+    /// @return the time after which a refused request may be sent again: the expected wait.
+    std::chrono::milliseconds retry_after() const;
+
     /// Charges the retry of an attempt that failed at this upstream to this owner's share of the
     /// retry budget. Otherwise the owners of healthy upstreams, which receive the retries, would
     /// exhaust their shares while the shares of owners of suspect upstreams stayed unused.
--- a/src/load/slot_admission.h
+++ b/src/load/slot_admission.h
@@ -1,36 +1,28 @@
 #pragma once
 
-#include "base/clock.h"
+#include "load/slot_queue.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
-#include <tuple>
 #include <vector>
 
 namespace galenaroad {
 
-/// A request for one of the upstream's slots.
-struct slot_request {
-    std::uint64_t ticket = 0; ///< Unique id of the request.
-    int priority = 0;         ///< 0 is the most urgent.
-    steady_time deadline;     ///< Time by which the response must be complete.
-    bool may_wait = false;    ///< If false, the request gets a free slot at once or is refused.
-    std::chrono::milliseconds service_time{
-        0}; ///< Expected time for which the request holds the slot.
-};
-
 /// Decision on a request for a slot.
 enum class slot_verdict { run, wait, refuse };
 
 /// Limits the concurrency of the upstream to its slots and queues the requests that wait for one.
 ///
-/// Requests are queued by the priority of their route, then by deadline. Calls between services
-/// have short deadlines, so they overtake the requests that hold a slot while they wait for such a
-/// call. A request that cannot be served before its deadline is refused at once: under overload,
-/// the slots are kept for requests that can still be answered in time.
+/// Requests are queued by priority, then by deadline. Calls between services have short deadlines,
+/// so they overtake the requests that hold a slot while they wait for such a call. When the waiting
+/// requests cannot all be served before their deadlines, slot_queue decides which of them are
+/// turned away at once: under overload, the slots are kept for requests that can still be answered
+/// in time.
 class slot_admission {
 public:
+    /// @param policy what is weighed when not all requests can be served in time.
+    explicit slot_admission(slot_queue_policy policy = {}) : m_queue(policy) {}
+
     /// @param slots maximum number of requests that the upstream runs concurrently.
     void resize(int slots) { m_slots = slots; }
 
@@ -39,8 +31,8 @@
     /// @param now the current time.
     slot_verdict admit(const slot_request& request, steady_time now);
 
-    /// Removes the waiting requests that can no longer be served before their deadlines because
-    /// more urgent requests have been queued ahead of them.
+    /// Removes the waiting requests that are turned away because not all can be served before their
+    /// deadlines.
     /// @param now the current time.
     /// @return the tickets of the removed requests.
     std::vector<std::uint64_t> take_unservable(steady_time now);
@@ -72,7 +64,7 @@
     int running() const { return m_running; }
 
     /// @return number of waiting requests.
-    int waiting() const { return static_cast<int>(m_waiting.size()); }
+    int waiting() const { return static_cast<int>(m_queue.size()); }
 
     /// @return number of running and waiting requests divided by the number of slots.
     double load() const;
@@ -81,13 +73,11 @@
     std::chrono::milliseconds mean_service_time() const;
 
 private:
-    /// Orders waiting requests by priority, deadline and ticket; the ticket makes the key unique.
-    using queue_key = std::tuple<int, steady_time, std::uint64_t>;
+    slot_queue_timing timing() const { return {m_slots, m_mean_service_time}; }
 
     int m_slots = 1;
     int m_running = 0;
-    /// Expected service times of the waiting requests.
-    std::map<queue_key, std::chrono::milliseconds> m_waiting;
+    slot_queue m_queue;
     std::chrono::duration<double> m_mean_service_time{0.2};
     double m_samples = 0;
     std::optional<steady_time> m_saturated_since;
--- a/src/tests/slot_admission_test.cpp
+++ b/src/tests/slot_admission_test.cpp
@@ -11,7 +11,13 @@
 
 slot_request waiting_request(std::uint64_t ticket, steady_time deadline, int priority = 1)
 {
-    return {ticket, priority, deadline, true, 100ms};
+    slot_request request;
+    request.ticket = ticket;
+    request.priority = priority;
+    request.deadline = deadline;
+    request.may_wait = true;
+    request.service_time = 100ms;
+    return request;
 }
 
 /// @return an admission whose only slot is taken and whose requests take 100 ms.
