--- a/src/load/account_slot_time.h
+++ b/src/load/account_slot_time.h
@@ -8,7 +8,11 @@
 
 namespace galenaroad {
 
-/// Slot time that client accounts have lately used at one upstream, with exponential decay.
+/// Slot time that client accounts use at one upstream: lately, and usually.
+///
+/// An account is above its share when it has lately used more than the other accounts on average
+/// and more than is usual for it. Accounts differ in size: compared with the average alone, the
+/// largest would give way in every shortage, whoever caused it.
 ///
 /// The number of accounts is bounded: the account that used least is forgotten first, which makes
 /// it an account below its share.
@@ -16,10 +20,12 @@
 public:
     /// Maximum number of accounts known.
     static constexpr std::size_t max_accounts = 256;
-    /// An account is above its share when it uses more than this multiple of the average of all
-    /// known accounts. Accounts differ in size and one owner sees few requests of each, so that
-    /// half of them are above the average at any time.
-    static constexpr double tolerated_multiple = 2.0;
+    /// An account is above its share when it has lately used more than this multiple of the average
+    /// of all known accounts. One owner sees few requests of each, so that half of them are above
+    /// the average at any time.
+    static constexpr double average_multiple = 2.0;
+    /// It must also have used more than this multiple of its usual part of all slot time.
+    static constexpr double usual_multiple = 1.5;
 
     /// Applies the decay.
     /// @param now the current time; must not decrease.
@@ -35,13 +41,19 @@
     bool is_above_share(const std::string& account) const;
 
     /// @return number of known accounts.
-    std::size_t size() const { return m_seconds.size(); }
+    std::size_t size() const { return m_used.size(); }
 
 private:
+    /// Slot time in seconds, with exponential decay.
+    struct usage {
+        double lately = 0;
+        double usually = 0;
+    };
+
     void forget_least();
 
-    std::unordered_map<std::string, double> m_seconds; ///< By account.
-    double m_total_seconds = 0;
+    std::unordered_map<std::string, usage> m_used; ///< By account.
+    usage m_total;
     steady_time m_advanced_at;
 };
 
