Tell who is turned away while waiting the expected wait

A request that was turned away while it waited, or whose wait ended, was told the average service time of one request as Retry-After, however long the queue was; one that was refused on arrival was told the expected wait. Both are told the expected wait now. Test: owned_upstream: who is turned away learns the expected wait.

--- a/src/experiment/relay_replay.cpp
+++ b/src/experiment/relay_replay.cpp
@@ -233,11 +233,11 @@
     m_loop.after(std::max<std::chrono::nanoseconds>(limit, 0ms), [this, made] {
         if (m_waiting.erase({made->at->place().index, made->ticket}) > 0) {
             made->at->owned.withdraw(made->ticket);
-            refuse(made, owner_reason::expired, made->at->owned.mean_service_time());
+            refuse(made, owner_reason::expired, made->at->owned.retry_after());
         }
     });
     for (const auto ticket : at.owned.take_unservable()) {
-        refuse(take_waiting(index, ticket), owner_reason::expired, at.owned.mean_service_time());
+        refuse(take_waiting(index, ticket), owner_reason::expired, at.owned.retry_after());
     }
 }
 
--- a/src/load/owned_upstream.cpp
+++ b/src/load/owned_upstream.cpp
@@ -144,8 +144,12 @@
 
 owner_decision owned_upstream::refusal(owner_reason reason) const
 {
-    const auto wait = std::max<std::chrono::milliseconds>(m_slots.expected_wait(), min_retry_after);
-    return {slot_verdict::refuse, reason, wait, 0};
+    return {slot_verdict::refuse, reason, retry_after(), 0};
+}
+
+std::chrono::milliseconds owned_upstream::retry_after() const
+{
+    return std::max<std::chrono::milliseconds>(m_slots.expected_wait(), min_retry_after);
 }
 
 bool owned_upstream::withdraw(std::uint64_t ticket)
--- a/src/load/owned_upstream.h
+++ b/src/load/owned_upstream.h
@@ -104,6 +104,9 @@
         return m_slots.take_unservable(m_clock.steady_now());
     }
 
+    /// @return the time after which a refused request may be sent again: the expected wait.
+    std::chrono::milliseconds retry_after() const;
+
     /// Charges the retry of an attempt that failed at this upstream to this owner's share of the
     /// retry budget. Otherwise the owners of healthy upstreams, which receive the retries, would
     /// exhaust their shares while the shares of owners of suspect upstreams stayed unused.
--- a/src/relay/owner_exchange.cpp
+++ b/src/relay/owner_exchange.cpp
@@ -406,13 +406,13 @@
 
 void owner_exchange::refuse_as_unservable()
 {
-    respond_not_run(owner_reason::expired, m_context.owned.mean_service_time());
+    respond_not_run(owner_reason::expired, m_context.owned.retry_after());
 }
 
 void owner_exchange::on_wait_timeout()
 {
     m_context.owned.withdraw(m_ticket);
-    respond_not_run(owner_reason::expired, m_context.owned.mean_service_time());
+    respond_not_run(owner_reason::expired, m_context.owned.retry_after());
 }
 
 void owner_exchange::on_overdue()
--- a/src/tests/owned_upstream_test.cpp
+++ b/src/tests/owned_upstream_test.cpp
@@ -323,3 +323,17 @@
     setup.owned.finish("r", 1s, run_outcome::inconclusive);
     CHECK(setup.run(run_outcome::success) == owner_reason::in_doubt);
 }
+
+TEST_CASE("owned_upstream: who is turned away learns the expected wait", "[relay]")
+{
+    // Guards against waiting requests that were turned away with the average service time however
+    // long the queue was, and came back to the same queue.
+    fixture setup;
+    CHECK(setup.owned.retry_after() == 200ms);
+    owner_decision decision;
+    do {
+        decision = setup.owned.admit(fixture::make_metadata(), owners);
+    } while (decision.verdict != slot_verdict::refuse);
+    CHECK(decision.retry_after == setup.owned.retry_after());
+    CHECK(setup.owned.retry_after() > 1s);
+}
