--- a/src/relay/entry_exchange.cpp
+++ b/src/relay/entry_exchange.cpp
@@ -53,10 +53,10 @@
                 self->on_deadline();
             }
         });
-    get_token();
+    request_token();
 }
 
-void entry_exchange::get_token()
+void entry_exchange::request_token()
 {
     const auto& account = m_route.account();
     if (!account || !account->quota.is_limited()) {
--- a/src/relay/entry_exchange.h
+++ b/src/relay/entry_exchange.h
@@ -42,7 +42,7 @@
         bool is_valid = false;
     };
 
-    void get_token();
+    void request_token();
     void try_next_owner();
     void record_probe();
     void send_to(const owner_record& owner);
--- a/src/relay/quota_exchange.h
+++ b/src/relay/quota_exchange.h
@@ -57,6 +57,7 @@
     void on_answer(std::string_view bytes);
     void answer_own_questions();
     std::optional<account_quota> quota_of(const std::string& account) const;
+
     relay_context& m_context;
     datagram_channel& m_datagrams;
     std::function<bool()> m_knows_all_owners;
