Compare the first document of the store with the plan of a peer

A copy of the test that prints who has which contents every 100 ms showed that it never gets them (x86-64, beside load: 2 of 4 and 3 of 6 runs). That daemon has its plan from a peer and begins to read the store only after the restore. The first document that it read told no other era, so that its version was taken for the one in force.

Ruled out: a read of the plan that is lost; repeating it changed nothing (3 of 6).

Change: the first document that a daemon reads is compared as well, where the store names its era.

--- a/src/relay/plan_updater.cpp
+++ b/src/relay/plan_updater.cpp
@@ -50,12 +50,13 @@
     on_replaced(replaced, "");
 }
 
-// Decoding a document takes long, so contents are compared only after a sign of a restore. A store
-// that names no era does not come back from a copy.
+// Decoding a document takes long, so contents are compared only after a sign of a restore, and with
+// the first document that this daemon reads: its plan may be one of a peer, from an earlier era. A
+// store that names no era does not come back from a copy.
 bool plan_updater::is_known(const plan_document& document)
 {
     const auto newest = std::max(m_context.plan_version(), m_context.unreadable_plan_version);
-    const bool is_new_era = m_era && *m_era != document.era;
+    const bool is_new_era = !m_era || *m_era != document.era;
     m_era = document.era;
     if (is_new_era || document.version < newest) {
         m_compares_contents = document.era.is_known();
