--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -497,6 +497,7 @@
         self.zones = {"ash-a": "ash"}
         self.folder = tempfile.mkdtemp(prefix="galenaroad-case-")
         self.store = Store()
+        self.store_of = {}  # number of a machine -> address at which it finds the store
         self.daemons = []
 
     async def begin(self, upstreams, config):
@@ -507,7 +508,7 @@
             upstream.host = f"{self.network}.{number}"
             await upstream.listen()
             daemon = Daemon(self.record, self.network, number, "ash-a", upstream,
-                            self.store.address, self.folder)
+                            self.store_of.get(number, self.store.address), self.folder)
             self.daemons.append(daemon)
         for daemon in self.daemons:
             await daemon.start(self.zones)
