--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -312,6 +312,7 @@
         self.folder = folder
         self.name = f"sidecar-{zone}-{number}"
         self.process = None
+        self.memory_mb = 260
         base = 20000
         self.ports = {"inbound": base, "outbound": base + 4, "ready": base + 2,
                       "control": base + 6}
@@ -335,7 +336,7 @@
   limits:
     cpu_share: 0.2
     cpu_cores: 1
-    memory_mb: 260
+    memory_mb: {self.memory_mb}
     max_fds: 4100
     link_mbps: 1000.0
     disk_mb: 0
@@ -497,6 +498,7 @@
         self.zones = {"ash-a": "ash"}
         self.folder = tempfile.mkdtemp(prefix="galenaroad-case-")
         self.store = Store()
+        self.memory_mb = 260  # of each machine
         self.store_of = {}  # number of a machine -> address at which it finds the store
         self.daemons = []
 
@@ -509,6 +511,7 @@
             await upstream.listen()
             daemon = Daemon(self.record, self.network, number, "ash-a", upstream,
                             self.store_of.get(number, self.store.address), self.folder)
+            daemon.memory_mb = self.memory_mb
             self.daemons.append(daemon)
         for daemon in self.daemons:
             await daemon.start(self.zones)
