--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,10 +10,10 @@
 import stand_ins_2 as stand_ins  # noqa: E402
 
 GRACE_S = 6.0  # grace_period_s of the settings
-GAP_S = 1.0  # between two pairs of machines of the rolling restart
-LONG_S = 2.4  # work of the long requests
+GAP_S = 1.3  # between two pairs of machines of the rolling restart
+LONG_S = 2.6  # work of the long requests
 WORK_S = 0.8  # work of the others
-SENT_AFTER_S = 1.35  # the long requests are sent, after the SIGTERM of the machine that takes them
+SENT_AFTER_S = 1.75  # the long requests are sent, after the SIGTERM of the machine that takes them
 DEADLINE_MS = 4000
 
 
@@ -66,15 +66,15 @@
     broken = []
     try:
         upstreams = [WorkingUpstream(record, "", service, 7)
-                     for service in ["finder"] * 2 + ["orders"] * 6]
+                     for service in ["finder"] * 2 + ["orders"] * 7]
         config = stand_ins.configuration(
             3, {"r-search": stand_ins.route("finder", "/search/", "safe"),
                 "r-order": stand_ins.route("orders", "/order/", "unsafe")},
             ["finder", "orders"])
         await deployment.begin(upstreams, config)
         daemons = deployment.daemons
-        pairs = [daemons[0:2], daemons[2:4], daemons[4:6]]
-        entry, other = daemons[4], daemons[7]
+        pairs = [daemons[0:2], daemons[2:4]]
+        entry, other = daemons[2], daemons[8]
         answer = await stand_ins.Client(record, entry.listen["outbound"]).send(
             "GET", "shop.example", "/search/1", "check-1", DEADLINE_MS)
         if answer.status != 200:
