--- a/review/7/case.py
+++ b/review/7/case.py
@@ -82,7 +82,7 @@
         ends = asyncio.Event()
         steady = [asyncio.ensure_future(send_steadily(record, other.listen["outbound"],
                                                       f"steady{number}", ends))
-                  for number in range(8)]
+                  for number in range(11)]
         await asyncio.sleep(2)
         begun = {}
         restarts = []
