Take a response that is reset during its upload for incomplete

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written.

Cause: byte_channel writes before it reads. The failed write takes the error off the socket and is reported by a later event; the read in the same event then returns 0, as after a FIN, and a response without a length counts as complete.

Ruled out: the framing (chunked and counted responses stay incomplete), the size of the upload as such. src/proxy doesn't read after a failed write.

Change: a channel remembers that a write has failed, and an end that a read sees after that counts as a failure.

Measured, x86-64: "http_client: a response without a length is incomplete after a reset" (0 and 720 bytes, reset after 50 and 600 ms, and the same with an orderly close) failed in 2 of 2 runs before, in all four cases of a reset, and passed in 3 of 3 runs with the change; orderly closes passed before too.

--- a/src/net/byte_channel.cpp
+++ b/src/net/byte_channel.cpp
@@ -249,7 +249,9 @@
             return;
         }
         if (received == 0) {
-            end(channel_end::closed);
+            // A failed write has consumed the error of the socket, which then reads like one that
+            // the peer has closed.
+            end(m_write_failed ? channel_end::failed : channel_end::closed);
             return;
         }
         const auto callbacks = current_hooks();
@@ -278,6 +280,7 @@
         flush_or_throw();
     }
     catch (const Poco::Exception&) {
+        m_write_failed = true;
         // The failure is reported from the event loop: the caller of send() may not be ready yet
         // for the `ended` callback.
         const std::weak_ptr<byte_channel> weak = weak_from_this();
--- a/src/net/byte_channel.h
+++ b/src/net/byte_channel.h
@@ -109,6 +109,7 @@
     int m_stalled_periods = 0; ///< Consecutive linger periods without a byte sent.
     bool m_paused = false;
     bool m_shut_down = false;
+    bool m_write_failed = false; ///< The error of the socket has been read with the failure.
     event_loop::timer_id m_timer = event_loop::no_timer;
 };
 
--- a/src/tests/upload_test.cpp
+++ b/src/tests/upload_test.cpp
@@ -166,6 +166,56 @@
     loop.unwatch(socket);
 }
 
+TEST_CASE("http_client: a response without a length is incomplete after a reset", "[upload]")
+{
+    // Guards against a part of a response that counts as the whole of it: the server responded
+    // while the body was being sent and reset the connection, the failed write consumed the error
+    // of the socket, and the read that followed saw an orderly end.
+    process_clock time;
+    event_loop loop(time);
+    http_client client(loop);
+    const auto address = free_address();
+    Poco::Net::ServerSocket socket{Poco::Net::SocketAddress(address)};
+    std::vector<std::shared_ptr<byte_channel>> accepted;
+    const bool is_reset = GENERATE(true, false);
+    const std::string part = GENERATE(as<std::string>{}, "", std::string(720, 'r'));
+    const auto delay = GENERATE(50ms, 600ms);
+    loop.watch(socket, socket_interest::read, [&](socket_readiness) {
+        auto channel = byte_channel::accept(loop, socket.acceptConnection());
+        // Responds at once and reads nothing.
+        channel->pause(true);
+        channel->send("HTTP/1.1 200 OK\r\n\r\n" + part);
+        accepted.push_back(channel);
+        loop.after(delay, [channel, is_reset] { is_reset ? channel->reset() : channel->close(); });
+    });
+    client_request request;
+    request.head.method = "POST";
+    request.head.target = "/";
+    request.head.fields = {{"Host", "test"}};
+    request.body = std::string(std::size_t{20} * 1024 * 1024, 'x');
+    std::string received;
+    bool is_complete = false;
+    bool has_failed = false;
+    client_hooks hooks;
+    hooks.head = [](const auto&) {};
+    hooks.body = [&](std::string_view bytes) { received.append(bytes); };
+    hooks.complete = [&] {
+        is_complete = true;
+        loop.stop();
+    };
+    hooks.failed = [&](exchange_error) {
+        has_failed = true;
+        loop.stop();
+    };
+    const auto call = client.send(address, std::move(request), std::move(hooks));
+    loop.after(3s, [&] { loop.stop(); });
+    loop.run();
+    CHECK(received == part);
+    CHECK(has_failed == is_reset);
+    CHECK(is_complete == !is_reset);
+    loop.unwatch(socket);
+}
+
 TEST_CASE("http_server: a body that stalls ends its request", "[upload]")
 {
     // Guards against a slot that is held for a body that never arrives.
