Keep a departure at peers before it is acknowledged without the store

What callers saw: an upstream left while the store was silent for its daemon and got its acknowledgement after 0.6 s.

Cause: only the process held what it had acknowledged. After the restart the store's row said ready, and no peer was asked.

Ruled out: the lifecycle, which keeps a restored departure against any heartbeat; no record was there to restore.

Change: departure_replicator sends a departure that the store doesn't confirm to three peers, chosen by a hash of the addresses, and a restarted daemon with an earlier record asks the first five of them before its upstream serves. An acknowledgement waits for the store, after 600 ms for the store or a peer; a departure that nothing else holds isn't acknowledged, also not when it is announced again.

The test "acknowledgement_queue: an acknowledgement does not wait for a silent store" demanded an acknowledgement that nothing but the process backs, which is the fault. It now demands one after 600 ms if a peer has the record, and none if no peer has it.

--- a/src/relay/acknowledgement_queue.cpp
+++ b/src/relay/acknowledgement_queue.cpp
@@ -10,7 +10,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto max_delay = 600ms;
+// Time for which the store is preferred to peers.
+constexpr auto max_store_delay = 600ms;
+// Departures that are announced again and again while nothing can confirm them.
+constexpr std::size_t max_pending = 64;
 
 } // namespace
 
@@ -24,10 +27,17 @@
 void acknowledgement_queue::add(std::uint64_t revision, std::function<void()> acknowledge)
 {
     const auto id = ++m_latest_id;
-    const auto timer = m_loop.after(max_delay, [this, id] {
-        acknowledge_if([id](const auto& each) { return each.id == id; });
+    const auto timer = m_loop.after(max_store_delay, [this, id] {
+        for (auto& each : m_pending) {
+            each.is_overdue = each.is_overdue || each.id == id;
+        }
+        acknowledge_due();
     });
     m_pending.push_back({id, revision, std::move(acknowledge), timer});
+    if (m_pending.size() > max_pending) {
+        m_loop.cancel(m_pending.front().timer);
+        m_pending.erase(m_pending.begin());
+    }
 }
 
 void acknowledgement_queue::lower_revisions(std::uint64_t revision)
@@ -35,18 +45,27 @@
     for (auto& each : m_pending) {
         each.revision = std::min(each.revision, revision);
     }
-    acknowledge_stored();
+    acknowledge_due();
 }
 
 void acknowledgement_queue::on_stored(std::uint64_t revision)
 {
     m_stored_revision = revision;
-    acknowledge_stored();
+    acknowledge_due();
 }
 
-void acknowledgement_queue::acknowledge_stored()
+void acknowledgement_queue::on_replicated(std::uint64_t revision)
 {
-    acknowledge_if([this](const auto& each) { return each.revision <= m_stored_revision; });
+    m_replicated_revision = std::max(m_replicated_revision, revision);
+    acknowledge_due();
+}
+
+void acknowledgement_queue::acknowledge_due()
+{
+    acknowledge_if([this](const auto& each) {
+        return each.revision <= m_stored_revision ||
+               (each.is_overdue && each.revision <= m_replicated_revision);
+    });
 }
 
 template <typename Predicate>
--- /dev/null
+++ b/src/relay/departure_replicator.cpp
@@ -0,0 +1,225 @@
+#include "relay/departure_replicator.h"
+
+#include "fleet/owner_record_codec.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace galenaroad {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+// The store usually confirms a record within this time.
+constexpr auto send_delay = 150ms;
+// The record is sent again until a peer has it: peers may be unreachable together with the store.
+constexpr auto resend_interval = 500ms;
+// A restarted daemon gives its upstream no request before the peers have responded.
+constexpr auto call_timeout = 300ms;
+// Each record outlives the loss of all but one of these peers.
+constexpr std::size_t max_holders = 3;
+// A few more are asked than told, since peers join and leave between a departure and a restart.
+constexpr std::size_t max_queried = 5;
+
+std::uint64_t rank_of(const std::string& owner, const std::string& peer)
+{
+    const auto seed = XXH3_64bits(owner.data(), owner.size());
+    return XXH3_64bits_withSeed(peer.data(), peer.size(), seed);
+}
+
+void respond(server_exchange& client, int status, const std::string& body)
+{
+    http_response_head head;
+    head.status = status;
+    head.fields = {{"Content-Type", "application/json"}};
+    client.respond(std::move(head), body);
+}
+
+bool has_departed(const owner_record& record)
+{
+    return record.state == announced_state::draining || record.state == announced_state::left;
+}
+
+} // namespace
+
+departure_replicator::departure_replicator(relay_context& context, hooks callbacks)
+    : m_context(context), m_hooks(std::move(callbacks))
+{
+}
+
+departure_replicator::~departure_replicator()
+{
+    m_context.loop.cancel(m_send_timer);
+    for (const auto& each : m_calls) {
+        each->exchange->cancel();
+    }
+}
+
+void departure_replicator::replicate(const owner_record& record)
+{
+    m_pending = record;
+    if (m_send_timer == event_loop::no_timer) {
+        m_send_timer = m_context.loop.after(send_delay, [this] { send_pending(); });
+    }
+}
+
+void departure_replicator::on_stored(std::uint64_t revision)
+{
+    if (m_pending && m_pending->revision <= revision) {
+        m_pending.reset();
+    }
+}
+
+void departure_replicator::send_pending()
+{
+    m_send_timer = event_loop::no_timer;
+    if (!m_pending) {
+        return;
+    }
+    const auto revision = m_pending->revision;
+    for (const auto& peer : holders(max_holders)) {
+        client_request request;
+        request.head.method = HTTPRequest::HTTP_PUT;
+        request.head.target = path;
+        request.head.fields = {{"Host", peer}};
+        request.body = owner_record_codec::encode(*m_pending);
+        send(peer, std::move(request), [this, revision](const call& ended) {
+            if (ended.status == HTTPResponse::HTTP_OK) {
+                on_stored(revision);
+                m_hooks.replicated(revision);
+            }
+        });
+    }
+    m_send_timer = m_context.loop.after(resend_interval, [this] { send_pending(); });
+}
+
+void departure_replicator::query(std::function<void()> on_end)
+{
+    m_on_query_end = std::move(on_end);
+    const auto peers = holders(max_queried);
+    m_unanswered_queries = peers.size();
+    for (const auto& peer : peers) {
+        client_request request;
+        request.head.method = HTTPRequest::HTTP_GET;
+        request.head.target = std::string(path) + "?" + m_context.location.address;
+        request.head.fields = {{"Host", peer}};
+        send(peer, std::move(request), [this](const call& ended) { on_query_response(ended); });
+    }
+    if (peers.empty()) {
+        std::exchange(m_on_query_end, nullptr)();
+    }
+}
+
+void departure_replicator::on_query_response(const call& ended)
+{
+    const auto record = ended.status == HTTPResponse::HTTP_OK
+                            ? owner_record_codec::decode(ended.body)
+                            : std::nullopt;
+    if (record && record->address == m_context.location.address) {
+        m_hooks.found(*record);
+    }
+    if (--m_unanswered_queries == 0) {
+        std::exchange(m_on_query_end, nullptr)();
+    }
+}
+
+// Peers of the own data centre, since all daemons know these soon after their start. An instance
+// that is alone in its data centre takes any.
+std::vector<std::string> departure_replicator::holders(std::size_t count) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> local;
+    std::vector<std::pair<std::uint64_t, std::string>> remote;
+    for (const auto& record : m_context.directory.all()) {
+        if (record.address == m_context.location.address) {
+            continue;
+        }
+        const bool is_local = record.data_centre == m_context.location.data_centre;
+        const auto rank = rank_of(m_context.location.address, record.address);
+        (is_local ? local : remote).emplace_back(rank, record.address);
+    }
+    auto& ranked = local.empty() ? remote : local;
+    std::sort(ranked.begin(), ranked.end());
+    ranked.resize(std::min(ranked.size(), count));
+    std::vector<std::string> result;
+    result.reserve(ranked.size());
+    for (auto& each : ranked) {
+        result.push_back(std::move(each.second));
+    }
+    return result;
+}
+
+void departure_replicator::send(const std::string& peer, client_request request,
+                                response_handler on_end)
+{
+    request.connect_timeout = call_timeout;
+    request.time_limit = call_timeout;
+    const auto made = std::make_shared<call>();
+    const std::weak_ptr<call> weak = made;
+    const auto end = [this, weak, on_end = std::move(on_end)](bool is_complete) {
+        const auto ended = weak.lock();
+        if (!ended) {
+            return;
+        }
+        m_calls.erase(std::remove(m_calls.begin(), m_calls.end(), ended), m_calls.end());
+        if (!is_complete) {
+            ended->status = 0;
+        }
+        on_end(*ended);
+    };
+    client_hooks callbacks;
+    callbacks.head = [weak](const http_response_head& head) {
+        if (const auto receiving = weak.lock()) {
+            receiving->status = head.status;
+        }
+    };
+    callbacks.body = [weak](std::string_view bytes) {
+        if (const auto receiving = weak.lock()) {
+            receiving->body.append(bytes);
+        }
+    };
+    callbacks.complete = [end] { end(true); };
+    callbacks.failed = [end](exchange_error) { end(false); };
+    m_calls.push_back(made);
+    made->exchange = m_context.peers.send(peer, std::move(request), std::move(callbacks));
+}
+
+void departure_replicator::handle(const relay_context& context,
+                                  const std::shared_ptr<server_exchange>& client,
+                                  const std::function<void(const owner_record&)>& on_record)
+{
+    const auto& head = client->head();
+    if (head.method == HTTPRequest::HTTP_PUT) {
+        const auto store = [client, on_record] {
+            const auto record = owner_record_codec::decode(client->body());
+            if (!record || !has_departed(*record)) {
+                respond(*client, HTTPResponse::HTTP_BAD_REQUEST, {});
+                return;
+            }
+            on_record(*record);
+            respond(*client, HTTPResponse::HTTP_OK, {});
+        };
+        if (client->has_body()) {
+            store();
+            return;
+        }
+        client->receive_body(store);
+        return;
+    }
+    const auto separator = head.target.find('?');
+    const auto address =
+        separator == std::string::npos ? std::string() : head.target.substr(separator + 1);
+    const auto* const known = context.directory.find(address);
+    if (known == nullptr) {
+        respond(*client, HTTPResponse::HTTP_NOT_FOUND, {});
+        return;
+    }
+    respond(*client, HTTPResponse::HTTP_OK, owner_record_codec::encode(*known));
+}
+
+} // namespace galenaroad
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -43,6 +43,11 @@
            a.start_time_ms == b.start_time_ms;
 }
 
+bool has_departed(const owner_record& record)
+{
+    return record.state == announced_state::draining || record.state == announced_state::left;
+}
+
 server_limits limits_for(const client_limits& limits, const relay_settings& settings)
 {
     server_limits result;
@@ -133,7 +138,10 @@
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_dependencies.loop, peer_limits(m_settings),
                     [this](auto client) { accept_peer(std::move(client)); }),
-      m_acknowledgements(m_dependencies.loop)
+      m_acknowledgements(m_dependencies.loop),
+      m_departures(m_context,
+                   {[this](std::uint64_t revision) { m_acknowledgements.on_replicated(revision); },
+                    [this](const owner_record& record) { merge_owners({record}); }})
 {
     m_context.quotas = &m_quotas;
 }
@@ -203,17 +211,20 @@
         }
     };
     hooks.local_owners_listed = [this] {
+        m_peers_are_listed = true;
         m_sync.on_local_owners_known();
         finish_restore("store");
         publish();
     };
     hooks.owners_listed = [this] {
         m_store_listing_is_complete = true;
+        m_peers_are_listed = true;
         finish_restore("store");
         on_all_owners_listed();
     };
     hooks.published = [this](std::uint64_t revision) {
         finish_restore("write");
+        m_departures.on_stored(revision);
         m_acknowledgements.on_stored(revision);
     };
     hooks.own_record_found = [this](const auto& record) { on_own_record_found(record); };
@@ -245,6 +256,7 @@
         return;
     }
     m_owners_listed = true;
+    m_peers_are_listed = true;
     m_quotas.update_members();
     m_sync.on_local_owners_known();
     publish();
@@ -317,7 +329,10 @@
 void relay_node::restore(const owner_record& record)
 {
     const auto before = m_context.owned.lifecycle().state();
+    m_has_earlier_record = true;
     m_context.owned.restore(record);
+    // The record comes from the store or from a peer.
+    m_acknowledgements.on_replicated(record.revision);
     if (record.revision > m_published.revision) {
         // Peers that have this record ignore what was published, which needs a new revision.
         m_published = {};
@@ -349,6 +364,10 @@
     if (!m_context.owned.lifecycle().is_restoring() || m_restart_check.may_lack_departure()) {
         return;
     }
+    if (must_ask_peers()) {
+        ask_peers(source);
+        return;
+    }
     m_context.owned.finish_restore();
     m_dependencies.log.note_state(
         "owner_restored",
@@ -358,6 +377,29 @@
     m_acknowledgements.lower_revisions(m_published.revision);
 }
 
+// An earlier start may have acknowledged a departure that the store does not have: peers know it.
+void relay_node::ask_peers(const char* source)
+{
+    if (!m_peers_are_listed) {
+        list_local_owners_after(0ms);
+        return;
+    }
+    if (m_is_asking_peers) {
+        return;
+    }
+    m_is_asking_peers = true;
+    const bool had_departed = has_departed(current_record());
+    m_departures.query([this, source, had_departed] {
+        m_has_asked_peers = true;
+        finish_restore(source);
+        if (!had_departed && has_departed(current_record())) {
+            // The store and the other peers do not have the departure yet.
+            m_published.address.clear();
+            announce(current_record());
+        }
+    });
+}
+
 // Without the store, the records of peers are the only source.
 void relay_node::trust_peers_later()
 {
@@ -408,7 +450,7 @@
 {
     const bool is_tentative =
         m_context.owned.lifecycle().is_restoring() && record.state == announced_state::ready;
-    if (is_tentative && m_restart_check.may_lack_departure()) {
+    if (is_tentative && (m_restart_check.may_lack_departure() || must_ask_peers())) {
         return;
     }
     if (!has_same_content(m_published, record)) {
@@ -416,6 +458,9 @@
         // The wall clock may step back; the revision never does.
         record.revision = std::max(m_published.revision + 1, now);
         m_published = std::move(record);
+        if (has_departed(m_published)) {
+            m_departures.replicate(m_published);
+        }
         m_dependencies.store.publish(m_published);
     }
     if (!is_tentative) {
@@ -456,6 +501,12 @@
 
 void relay_node::acknowledge_change(lifecycle_change change, std::function<void()> acknowledge)
 {
+    const bool is_confirmed = m_acknowledgements.is_confirmed(m_published.revision);
+    if (change == lifecycle_change::none && has_departed(current_record()) && !is_confirmed) {
+        // It was announced before and not acknowledged.
+        m_acknowledgements.add(m_published.revision, std::move(acknowledge));
+        return;
+    }
     if (change == lifecycle_change::none || change == lifecycle_change::stale) {
         acknowledge();
         return;
@@ -499,6 +550,11 @@
         m_sync.handle_page_request(client);
         return;
     }
+    if (!text && head.target.rfind(departure_replicator::path, 0) == 0) {
+        departure_replicator::handle(m_context, client,
+                                     [this](const auto& record) { merge_owners({record}); });
+        return;
+    }
     const auto query = http_head::find(head.fields, response_query::header);
     if (!text && query && head.target == response_query::path) {
         handle_response_query(client, *query);
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -5,6 +5,7 @@
 #include "net/http_server.h"
 #include "relay/acknowledgement_queue.h"
 #include "relay/datagram_channel.h"
+#include "relay/departure_replicator.h"
 #include "relay/entry_exchange.h"
 #include "relay/health_report_exchange.h"
 #include "relay/owner_exchange.h"
@@ -107,6 +108,8 @@
     void restore(const owner_record& record);
     void on_own_record_found(const owner_record& record);
     void finish_restore(const char* source);
+    void ask_peers(const char* source);
+    bool must_ask_peers() const { return m_has_earlier_record && !m_has_asked_peers; }
     void trust_peers_later();
     void acknowledge_change(lifecycle_change change, std::function<void()> acknowledge);
     void accept_client(std::shared_ptr<server_exchange> client);
@@ -139,6 +142,7 @@
     std::set<std::shared_ptr<owner_exchange>> m_owned_requests;
     std::map<std::uint64_t, std::weak_ptr<owner_exchange>> m_waiting_requests;
     acknowledgement_queue m_acknowledgements;
+    departure_replicator m_departures;
     owner_record m_published;
     steady_time m_stopping_since;
     std::size_t m_unfinished = 0; ///< Requests in progress at the end of the stop time.
@@ -147,6 +151,10 @@
     bool m_has_requested_local_owners = false;
     bool m_owners_listed = false;             ///< By the store, or by a peer with all of them.
     bool m_store_listing_is_complete = false; ///< Since the store is watched.
+    bool m_peers_are_listed = false;          ///< At least those of the data centre.
+    bool m_has_earlier_record = false;        ///< One of this daemon has been found.
+    bool m_is_asking_peers = false;           ///< For the record of an earlier start.
+    bool m_has_asked_peers = false;
     bool m_is_stopping = false;
 };
 
--- a/src/tests/acknowledgement_queue_test.cpp
+++ b/src/tests/acknowledgement_queue_test.cpp
@@ -34,13 +34,23 @@
 
 TEST_CASE("acknowledgement_queue: an acknowledgement does not wait for a silent store", "[relay]")
 {
-    // Guards against upstreams that cannot leave while the store does not respond.
+    // Guards against upstreams that cannot leave while the store does not respond, and against a
+    // departure that is acknowledged while only this process knows it.
     process_clock time;
     event_loop loop(time);
     acknowledgement_queue queue(loop);
-    int calls = 0;
-    queue.add(10, [&] { ++calls; });
+    int early = 0;
+    int late = 0;
+    queue.add(10, [&] { ++early; });
+    queue.add(20, [&] { ++late; });
+    queue.on_replicated(10);
+    CHECK(early + late == 0);
     loop.after(1s, [&] { loop.stop(); });
     loop.run();
-    CHECK(calls == 1);
+    CHECK(early == 1);
+    CHECK(late == 0);
+    CHECK(queue.is_confirmed(10));
+    CHECK_FALSE(queue.is_confirmed(20));
+    queue.on_replicated(20);
+    CHECK(late == 1);
 }
--- a/src/tests/relay_node_restart_test.cpp
+++ b/src/tests/relay_node_restart_test.cpp
@@ -1,3 +1,4 @@
+#include "support/relay_test_fleet.h"
 #include "support/store_test_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -201,3 +202,66 @@
         CHECK(test.state_at(*test.fleet.nodes.back()) == announced_state::ready);
     }
 }
+
+TEST_CASE("relay_node: a departure that the store does not have outlives its daemon", "[relay]")
+{
+    // Guards against new work for an upstream that has left: its departure was acknowledged while
+    // the store did not respond to its daemon, the daemon was killed, and a late heartbeat made the
+    // upstream ready again, also for peers that had known of the departure.
+    const bool is_draining = GENERATE(false, true);
+    const bool heartbeat_is_first = GENERATE(false, true);
+    restart_test test;
+    test.first.to_store.cut(soak_link::direction::forward);
+    bool is_acknowledged = false;
+    const auto acknowledge = [&] { is_acknowledged = true; };
+    auto departing = test.first.make_heartbeat(3);
+    departing.is_draining = true;
+    if (is_draining) {
+        test.first.node.on_heartbeat(departing, acknowledge);
+    }
+    else {
+        test.first.node.on_departure(departing.id, acknowledge);
+    }
+    test.fleet.run_for(900ms);
+    REQUIRE(is_acknowledged);
+    test.restart();
+    const auto late = test.next->make_heartbeat(2);
+    test.next->node.start();
+    if (heartbeat_is_first) {
+        test.next->node.on_heartbeat(late, [] {});
+    }
+    test.fleet.run_for(1500ms);
+    test.next->node.on_heartbeat(late, [] {});
+    CHECK(test.ask_next() != owner_reason::unreachable);
+    test.fleet.run_for(3s);
+    CHECK(test.ask_next() != owner_reason::unreachable);
+    CHECK(test.state_at(*test.next) != announced_state::ready);
+    for (const auto& each : test.fleet.nodes) {
+        INFO("draining " << is_draining << ", heartbeat first " << heartbeat_is_first << ", first "
+                         << (each == test.fleet.nodes.front()));
+        CHECK(test.state_at(*each) != announced_state::ready);
+    }
+}
+
+TEST_CASE("relay_node: a departure that only its daemon knows is not acknowledged", "[relay]")
+{
+    // Guards against an acknowledgement that is forgotten with the process, also when the upstream
+    // announces its departure again.
+    relay_test_fleet fleet;
+    fleet.a->announce();
+    fleet.b->announce();
+    fleet.run_for(100ms);
+    fleet.shared.is_unreachable = true;
+    fleet.a->link->cut(soak_link::direction::forward);
+    int acknowledged = 0;
+    fleet.b->node.on_departure(fleet.b->id, [&] { ++acknowledged; });
+    fleet.run_for(1s);
+    fleet.b->node.on_departure(fleet.b->id, [&] { ++acknowledged; });
+    fleet.run_for(1s);
+    CHECK(acknowledged == 0);
+    fleet.a->link->heal();
+    fleet.run_for(2s);
+    CHECK(acknowledged == 2);
+    REQUIRE(fleet.a->node.owners().find(fleet.b->peer_address) != nullptr);
+    CHECK(fleet.a->node.owners().find(fleet.b->peer_address)->state == announced_state::left);
+}
