Pause the client of an http_server test with the head of its response

Cause: the test paused its client after 20 ms. On the machine of that run the client had received the 24 MiB by then, so that no byte was left to wait. http_server is not at fault: the only assertion that failed is the one that needs the client to have stopped reading.

Ruled out: has_unsent_bytes() itself; it is called with the same state in the last assertion of the test, and in the tests of planned stops.

Change: the client stops reading with the head of the response, whatever the speed of the machine.

--- a/src/tests/http_server_test.cpp
+++ b/src/tests/http_server_test.cpp
@@ -327,8 +327,10 @@
         client->respond(std::move(head), large);
     });
     received_response response;
-    auto call = at.client.send(at.address, get("/"), hooks_for(response, at.loop));
-    at.loop.after(20ms, [&] { call->pause(true); });
+    std::shared_ptr<http_exchange> call;
+    auto hooks = hooks_for(response, at.loop);
+    hooks.head = [&](const auto&) { call->pause(true); };
+    call = at.client.send(at.address, get("/"), std::move(hooks));
     CHECK_FALSE(at.server.has_unsent_bytes());
     at.loop.after(300ms, [&] {
         CHECK(at.server.has_unsent_bytes());
