Confirm a departure only by a record that announces it

An upstream gets the acknowledgement of its departure, its daemon is killed, and the restarted daemon gives the upstream new work.

Cause: two places took a higher revision for a confirmation. Revisions start at the wall clock, so after the clock has been stepped back a `ready` record of an earlier start has a higher one than the departure. relay_node::restore() let any own record confirm what waited, and a peer ignored the departure for the sake of its record and still responded 200.

Ruled out: the store, which compares the whole row and reports an unexpected one (own_record_found).

Change: restore() confirms only with a record that says what the daemon announces. A peer that does not have the departure after merging it responds 409 with its own record; the daemon takes that up and announces the departure with a higher revision. A response to a request about a departure is read up to 16 KiB.

Tests of owners share the code that sends an attempt and reads its report.

--- a/src/fleet/owner_record.h
+++ b/src/fleet/owner_record.h
@@ -30,4 +30,11 @@
     store_era era; ///< Of the store, when the record was written there; not known elsewhere.
 };
 
+/// @param record a record.
+/// @return true if its upstream has announced that it leaves.
+inline bool has_departed(const owner_record& record)
+{
+    return record.state == announced_state::draining || record.state == announced_state::left;
+}
+
 } // namespace galenaroad
--- a/src/relay/departure_replicator.cpp
+++ b/src/relay/departure_replicator.cpp
@@ -26,6 +26,8 @@
 constexpr std::size_t max_holders = 3;
 // A few more are asked than told, since peers join and leave between a departure and a restart.
 constexpr std::size_t max_queried = 5;
+// A record holds a few names and numbers.
+constexpr std::size_t max_record_bytes = std::size_t{16} * 1024;
 
 std::uint64_t rank_of(const std::string& owner, const std::string& peer)
 {
@@ -41,13 +43,40 @@
     client.respond(std::move(head), body);
 }
 
-bool has_departed(const owner_record& record)
+// A record of an earlier start may have a higher revision, since the wall clock may have been
+// stepped back. It would be found in place of the departure.
+bool has_stored(const relay_context& context, const owner_record& departure)
 {
-    return record.state == announced_state::draining || record.state == announced_state::left;
+    const auto* const known = context.directory.find(departure.address);
+    return known != nullptr && known->revision >= departure.revision &&
+           known->upstream_id == departure.upstream_id &&
+           known->start_time_ms >= departure.start_time_ms && known->state >= departure.state;
+}
+
+// A peer that has a later record responds with it.
+void respond_to_departure(const relay_context& context, server_exchange& client,
+                          const owner_record& departure)
+{
+    if (has_stored(context, departure)) {
+        respond(client, HTTPResponse::HTTP_OK, {});
+        return;
+    }
+    const auto* const known = context.directory.find(departure.address);
+    respond(client, HTTPResponse::HTTP_CONFLICT,
+            known == nullptr ? std::string() : owner_record_codec::encode(*known));
 }
 
 } // namespace
 
+void departure_replicator::call::append(std::string_view bytes)
+{
+    if (body.size() + bytes.size() > max_record_bytes) {
+        status = 0;
+        return;
+    }
+    body.append(bytes);
+}
+
 departure_replicator::departure_replicator(relay_context& context, hooks callbacks)
     : m_context(context), m_hooks(std::move(callbacks))
 {
@@ -89,16 +118,41 @@
         request.head.target = path;
         request.head.fields = {{"Host", peer}};
         request.body = owner_record_codec::encode(*m_pending);
-        send(peer, std::move(request), [this, revision](const call& ended) {
-            if (ended.status == HTTPResponse::HTTP_OK) {
-                on_stored(revision);
-                m_hooks.replicated(revision);
-            }
-        });
+        send(peer, std::move(request),
+             [this, revision](const call& ended) { on_replicate_response(revision, ended); });
     }
     m_send_timer = m_context.loop.after(resend_interval, [this] { send_pending(); });
 }
 
+void departure_replicator::on_replicate_response(std::uint64_t revision, const call& ended)
+{
+    if (ended.status == HTTPResponse::HTTP_OK) {
+        m_context.metrics.record_departure_request("replicate", "ok");
+        if (m_pending && m_pending->revision <= revision) {
+            m_context.log.note_state("departure_replicated",
+                                     {{"revision", std::to_string(revision)}});
+        }
+        on_stored(revision);
+        m_hooks.replicated(revision);
+        return;
+    }
+    const bool is_outdated = ended.status == HTTPResponse::HTTP_CONFLICT;
+    m_context.metrics.record_departure_request("replicate", is_outdated ? "outdated" : "failed");
+    if (is_outdated) {
+        take_own_record(ended);
+    }
+}
+
+bool departure_replicator::take_own_record(const call& ended) const
+{
+    const auto record = owner_record_codec::decode(ended.body);
+    if (!record || record->address != m_context.location.address) {
+        return false;
+    }
+    m_hooks.found(*record);
+    return true;
+}
+
 void departure_replicator::query(std::function<void()> on_end)
 {
     m_on_query_end = std::move(on_end);
@@ -118,12 +172,10 @@
 
 void departure_replicator::on_query_response(const call& ended)
 {
-    const auto record = ended.status == HTTPResponse::HTTP_OK
-                            ? owner_record_codec::decode(ended.body)
-                            : std::nullopt;
-    if (record && record->address == m_context.location.address) {
-        m_hooks.found(*record);
-    }
+    const bool is_found = ended.status == HTTPResponse::HTTP_OK && take_own_record(ended);
+    const bool is_unknown = ended.status == HTTPResponse::HTTP_NOT_FOUND;
+    const char* const failure = is_unknown ? "unknown" : "failed";
+    m_context.metrics.record_departure_request("query", is_found ? "ok" : failure);
     if (--m_unanswered_queries == 0) {
         std::exchange(m_on_query_end, nullptr)();
     }
@@ -180,7 +232,7 @@
     };
     callbacks.body = [weak](std::string_view bytes) {
         if (const auto receiving = weak.lock()) {
-            receiving->body.append(bytes);
+            receiving->append(bytes);
         }
     };
     callbacks.complete = [end] { end(true); };
@@ -195,14 +247,14 @@
 {
     const auto& head = client->head();
     if (head.method == HTTPRequest::HTTP_PUT) {
-        const auto store = [client, on_record] {
+        const auto store = [&context, client, on_record] {
             const auto record = owner_record_codec::decode(client->body());
             if (!record || !has_departed(*record)) {
                 respond(*client, HTTPResponse::HTTP_BAD_REQUEST, {});
                 return;
             }
             on_record(*record);
-            respond(*client, HTTPResponse::HTTP_OK, {});
+            respond_to_departure(context, *client, *record);
         };
         if (client->has_body()) {
             store();
--- a/src/relay/departure_replicator.h
+++ b/src/relay/departure_replicator.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace galenaroad {
@@ -27,7 +28,7 @@
     struct hooks {
         /// A peer has stored the record of this revision or a later one.
         std::function<void(std::uint64_t revision)> replicated;
-        /// A peer knows this record of this daemon.
+        /// A peer knows this record of this daemon, which may be of an earlier start.
         std::function<void(const owner_record& record)> found;
     };
 
@@ -65,7 +66,9 @@
     struct call {
         std::shared_ptr<http_exchange> exchange;
         std::string body;
-        int status = 0;
+        int status = 0; ///< 0 for a call that has failed.
+
+        void append(std::string_view bytes);
     };
 
     using response_handler = std::function<void(const call& ended)>;
@@ -73,7 +76,9 @@
     std::vector<std::string> holders(std::size_t count) const;
     void send_pending();
     void send(const std::string& peer, client_request request, response_handler on_end);
+    void on_replicate_response(std::uint64_t revision, const call& ended);
     void on_query_response(const call& ended);
+    bool take_own_record(const call& ended) const;
 
     relay_context& m_context;
     hooks m_hooks;
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -191,6 +191,15 @@
         .Increment();
 }
 
+void relay_metrics::record_departure_request(const std::string& purpose, const std::string& outcome)
+{
+    m_registry
+        .counter("galenaroad_departure_requests_total",
+                 "Requests to peers about departures, by purpose and outcome.",
+                 {{"purpose", purpose}, {"outcome", outcome}})
+        .Increment();
+}
+
 void relay_metrics::record_plan_errors(std::size_t count)
 {
     m_registry
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -104,6 +104,12 @@
     /// @param outcome `ok`, `failed` or `not_sent`.
     void record_state_request(const std::string& purpose, const std::string& outcome);
 
+    /// Records a request to a peer about a departure.
+    /// @param purpose `replicate` or `query`.
+    /// @param outcome `ok`, `outdated` when the peer has a later record, `unknown` when it has
+    /// none, or `failed`.
+    void record_departure_request(const std::string& purpose, const std::string& outcome);
+
     /// Records the number of errors in the plan in force.
     void record_plan_errors(std::size_t count);
 
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -43,11 +43,6 @@
            a.start_time_ms == b.start_time_ms;
 }
 
-bool has_departed(const owner_record& record)
-{
-    return record.state == announced_state::draining || record.state == announced_state::left;
-}
-
 server_limits limits_for(const client_limits& limits, const relay_settings& settings)
 {
     server_limits result;
@@ -331,8 +326,10 @@
     const auto before = m_context.owned.lifecycle().state();
     m_has_earlier_record = true;
     m_context.owned.restore(record);
-    // The record comes from the store or from a peer.
-    m_acknowledgements.on_replicated(record.revision);
+    if (has_same_content(record, current_record())) {
+        // The store or a peer has what this daemon announces.
+        m_acknowledgements.on_replicated(record.revision);
+    }
     if (record.revision > m_published.revision) {
         // Peers that have this record ignore what was published, which needs a new revision.
         m_published = {};
--- a/src/tests/relay_node_restart_test.cpp
+++ b/src/tests/relay_node_restart_test.cpp
@@ -1,3 +1,4 @@
+#include "fleet/owner_record_codec.h"
 #include "support/relay_test_fleet.h"
 #include "support/store_test_fleet.h"
 
@@ -243,6 +244,87 @@
     }
 }
 
+TEST_CASE("relay_node: an earlier record with a higher revision confirms no departure", "[relay]")
+{
+    // Guards against a departure that is acknowledged and then forgotten: the wall clock had been
+    // stepped back, so that a record of an earlier start seemed to be later than the departure.
+    relay_test_fleet fleet;
+    fleet.a->announce();
+    fleet.b->announce();
+    fleet.run_for(100ms);
+    fleet.shared.is_unreachable = true;
+    fleet.a->link->cut(soak_link::direction::forward);
+    bool is_acknowledged = false;
+    fleet.b->node.on_departure(fleet.b->id, [&] { is_acknowledged = true; });
+    auto earlier = *fleet.a->node.owners().find(fleet.b->peer_address);
+    REQUIRE(earlier.state == announced_state::ready);
+    earlier.revision += std::uint64_t{60'000};
+    fleet.b->store.deliver_owners({earlier});
+    fleet.run_for(1s);
+    CHECK_FALSE(is_acknowledged);
+    fleet.a->store.deliver_owners({earlier});
+    fleet.a->link->heal();
+    fleet.run_for(2s);
+    CHECK(is_acknowledged);
+    CHECK(fleet.a->node.owners().find(fleet.b->peer_address)->state == announced_state::left);
+}
+
+TEST_CASE("relay_node: a peer with a later record does not confirm a departure", "[relay]")
+{
+    // Guards against a departure that is acknowledged although the peer has kept another record,
+    // which a restarted daemon would find in its place.
+    relay_test_fleet fleet;
+    fleet.a->announce();
+    fleet.b->announce();
+    fleet.run_for(100ms);
+    auto departure = *fleet.a->node.owners().find(fleet.b->peer_address);
+    auto later = departure;
+    departure.state = announced_state::left;
+    departure.revision += 1;
+    later.revision += std::uint64_t{60'000};
+    fleet.a->store.deliver_owners({later});
+    client_request request;
+    request.head.method = "PUT";
+    request.head.target = departure_replicator::path;
+    request.head.fields = {{"Host", "h"}};
+    request.body = owner_record_codec::encode(departure);
+    int status = 0;
+    std::string body;
+    client_hooks hooks;
+    hooks.head = [&](const auto& head) { status = head.status; };
+    hooks.body = [&](std::string_view bytes) { body.append(bytes); };
+    hooks.complete = [&] { fleet.loop.stop(); };
+    hooks.failed = [&](exchange_error) { fleet.loop.stop(); };
+    const auto call =
+        fleet.client.send(fleet.a->peer_address, std::move(request), std::move(hooks));
+    fleet.loop.run();
+    CHECK(status == 409);
+    const auto kept = owner_record_codec::decode(body);
+    REQUIRE(kept.has_value());
+    CHECK(kept->revision == later.revision);
+    CHECK(kept->state == announced_state::ready);
+}
+
+TEST_CASE("relay_node: a departure replaces a later record that a peer has", "[relay]")
+{
+    // Guards against a departure that is never acknowledged while the store does not respond,
+    // because the peers have a record of an earlier start with a higher revision.
+    relay_test_fleet fleet;
+    fleet.a->announce();
+    fleet.b->announce();
+    fleet.run_for(100ms);
+    fleet.shared.is_unreachable = true;
+    auto later = *fleet.a->node.owners().find(fleet.b->peer_address);
+    later.revision += std::uint64_t{60'000};
+    fleet.a->store.deliver_owners({later});
+    auto state_at_acknowledgement = announced_state::none;
+    fleet.b->node.on_departure(fleet.b->id, [&] {
+        state_at_acknowledgement = fleet.a->node.owners().find(fleet.b->peer_address)->state;
+    });
+    fleet.run_for(2s);
+    CHECK(state_at_acknowledgement == announced_state::left);
+}
+
 TEST_CASE("relay_node: a departure that only its daemon knows is not acknowledged", "[relay]")
 {
     // Guards against an acknowledgement that is forgotten with the process, also when the upstream
--- a/src/tests/relay_node_stop_test.cpp
+++ b/src/tests/relay_node_stop_test.cpp
@@ -17,6 +17,17 @@
     return call;
 }
 
+/// A fleet with one more owner, which is near the entry and whose upstream never responds.
+struct silent_owner_fleet : relay_test_fleet {
+    relay_test_node near{loop, shared, log, "near", "dc-a"};
+
+    silent_owner_fleet()
+    {
+        near.announce(1, near.upstream.address, 100);
+        near.upstream.handler = [](auto&) {};
+    }
+};
+
 } // namespace
 
 TEST_CASE("relay_node: an entry that stops has no request started at an owner that stops",
@@ -47,10 +58,8 @@
 {
     // Guards against requests that the exit of their owner interrupts and that no other owner
     // retries, because the retry budget is exhausted.
-    relay_test_fleet fleet;
-    relay_test_node near(fleet.loop, fleet.shared, fleet.log, "near", "dc-a");
-    near.announce(1, near.upstream.address, 100);
-    near.upstream.handler = [](auto&) {};
+    silent_owner_fleet fleet;
+    auto& near = fleet.near;
     const auto first = begin_long_request(fleet);
     fleet.b->announce(1, fleet.b->upstream.address, 100);
     fleet.run_for(100ms);
@@ -78,10 +87,8 @@
 {
     // Guards against a request that was given up with half of its time left: no other owner had
     // been found when it became slow, and it was not retried after its owner had interrupted it.
-    relay_test_fleet fleet;
-    relay_test_node near(fleet.loop, fleet.shared, fleet.log, "near", "dc-a");
-    near.announce(1, near.upstream.address, 100);
-    near.upstream.handler = [](auto&) {};
+    silent_owner_fleet fleet;
+    auto& near = fleet.near;
     fleet.client_timeout = 8s;
     const auto slow = fleet.begin("GET", "/download/x");
     fleet.run_for(100ms);
@@ -109,38 +116,20 @@
     fleet.b->upstream.handler = [](auto&) {};
     const auto first = begin_long_request(fleet);
     const bool is_order = GENERATE(false, true);
-    attempt_metadata metadata;
-    metadata.attempt_id = "1";
-    metadata.service = "s";
-    metadata.route = is_order ? "long-once" : "download";
-    metadata.kind = is_order ? request_kind::at_most_once : request_kind::download;
-    metadata.entry_address = fleet.a->peer_address;
+    auto metadata =
+        fleet.make_metadata(is_order ? "long-once" : "download",
+                            is_order ? request_kind::at_most_once : request_kind::download);
     metadata.remaining = 15s;
-    metadata.objective_remaining = 1s;
     metadata.may_retry = true;
     metadata.may_be_interrupted = !is_order;
-    metadata.plan_version = 1;
-    auto request = fleet.request("GET", "/download/x");
-    request.head.fields.push_back(
-        {attempt_metadata::header, relay_message_codec::encode(metadata)});
-    std::optional<attempt_report> report;
-    client_hooks hooks;
-    hooks.head = [&](const auto& head) {
-        const auto text = http_head::find(head.fields, attempt_report::header).value_or("");
-        report = relay_message_codec::decode_report(text);
-    };
-    hooks.body = [](std::string_view) {};
-    hooks.complete = [] {};
-    hooks.failed = [](exchange_error) {};
-    const auto call =
-        fleet.client.send(fleet.b->peer_address, std::move(request), std::move(hooks));
+    const auto attempt = fleet.offer(*fleet.b, metadata);
     fleet.run_for(100ms);
     fleet.b->node.stop([] {});
     fleet.run_for(5500ms);
-    REQUIRE(report.has_value());
-    CHECK(report->result == owner_result::failed);
-    CHECK(report->reason == owner_reason::stopping);
-    CHECK(report->grants_retry == !is_order);
+    REQUIRE(attempt->report.has_value());
+    CHECK(attempt->report->result == owner_result::failed);
+    CHECK(attempt->report->reason == owner_reason::stopping);
+    CHECK(attempt->report->grants_retry == !is_order);
 }
 
 TEST_CASE("relay_node: a slow request is retried after its interruption during the next search",
@@ -148,10 +137,8 @@
 {
     // Guards against a request that was given up because its owner interrupted it while the search
     // for a parallel attempt was asking owners, all of which refused it.
-    relay_test_fleet fleet;
-    relay_test_node near(fleet.loop, fleet.shared, fleet.log, "near", "dc-a");
-    near.announce(1, near.upstream.address, 100);
-    near.upstream.handler = [](auto&) {};
+    silent_owner_fleet fleet;
+    auto& near = fleet.near;
     fleet.client_timeout = 8s;
     const auto slow = fleet.begin("GET", "/download/x");
     fleet.run_for(100ms);
--- a/src/tests/relay_node_test.cpp
+++ b/src/tests/relay_node_test.cpp
@@ -273,36 +273,15 @@
     fleet.b->upstream.handler = [fails](server_exchange& client) {
         relay_test_upstream::respond(client, fails ? 500 : 200, "");
     };
-    attempt_metadata metadata;
-    metadata.attempt_id = "1";
-    metadata.service = "s";
-    metadata.route = "safe";
-    metadata.kind = request_kind::safe;
-    metadata.entry_address = fleet.a->peer_address;
-    metadata.remaining = 1s;
-    metadata.objective_remaining = 1s;
-    metadata.plan_version = 1;
-    auto request = fleet.request("GET", "/safe/x");
-    request.head.fields.push_back(
-        {attempt_metadata::header, relay_message_codec::encode(metadata)});
-    std::optional<attempt_report> report;
-    client_hooks hooks;
-    hooks.head = [&](const auto& head) {
-        const auto text = http_head::find(head.fields, attempt_report::header).value_or("");
-        report = relay_message_codec::decode_report(text);
-    };
-    hooks.body = [](std::string_view) {};
-    hooks.complete = [&] { fleet.loop.stop(); };
-    hooks.failed = [&](exchange_error) { fleet.loop.stop(); };
-    const auto call =
-        fleet.client.send(fleet.b->peer_address, std::move(request), std::move(hooks));
+    const auto attempt = fleet.offer(*fleet.b, fleet.make_metadata("safe", request_kind::safe),
+                                     [&] { fleet.loop.stop(); });
     fleet.loop.run();
-    REQUIRE(report.has_value());
+    REQUIRE(attempt->report.has_value());
     if (fails) {
-        CHECK(report->failing_percent > 80);
+        CHECK(attempt->report->failing_percent > 80);
     }
     else {
-        CHECK(report->failing_percent < 10);
+        CHECK(attempt->report->failing_percent < 10);
     }
 }
 
--- a/src/tests/support/relay_test_fleet.h
+++ b/src/tests/support/relay_test_fleet.h
@@ -95,6 +95,8 @@
 
     void deliver_plan(const plan_document& plan) { m_hooks.plan(plan); }
 
+    void deliver_owners(const std::vector<owner_record>& records) { m_hooks.owners(records); }
+
     /// Delivers a plan as the store does: only to a daemon that watches it.
     void deliver_plan_if_following(const plan_document& plan)
     {
@@ -293,6 +295,12 @@
     bool has_ended = false;
 };
 
+/// A request that a test sends to an owner as an entry daemon does, while the loop runs.
+struct relay_test_attempt {
+    std::shared_ptr<http_exchange> exchange;
+    std::optional<attempt_report> report; ///< Of the owner.
+};
+
 /// A fleet of two nodes on one loop.
 struct relay_test_fleet {
     process_clock time;
@@ -356,6 +364,43 @@
         return call;
     }
 
+    /// @return the metadata of an attempt that the first node would make.
+    attempt_metadata make_metadata(const std::string& route, request_kind kind) const
+    {
+        attempt_metadata result;
+        result.attempt_id = "1";
+        result.service = "s";
+        result.route = route;
+        result.kind = kind;
+        result.entry_address = a->peer_address;
+        result.remaining = 1s;
+        result.objective_remaining = 1s;
+        result.plan_version = 1;
+        return result;
+    }
+
+    /// Sends an attempt to an owner.
+    /// @param on_end called when the response is complete or has failed.
+    std::shared_ptr<relay_test_attempt> offer(
+        const relay_test_node& owner, const attempt_metadata& metadata,
+        std::function<void()> on_end = [] {})
+    {
+        auto sent = request("GET", "/" + metadata.route + "/x");
+        sent.head.fields.push_back(
+            {attempt_metadata::header, relay_message_codec::encode(metadata)});
+        const auto attempt = std::make_shared<relay_test_attempt>();
+        client_hooks hooks;
+        hooks.head = [result = attempt.get()](const auto& head) {
+            const auto text = http_head::find(head.fields, attempt_report::header).value_or("");
+            result->report = relay_message_codec::decode_report(text);
+        };
+        hooks.body = [](std::string_view) {};
+        hooks.complete = on_end;
+        hooks.failed = [on_end](exchange_error) { on_end(); };
+        attempt->exchange = client.send(owner.peer_address, std::move(sent), std::move(hooks));
+        return attempt;
+    }
+
     relay_test_response send(const std::string& method, const std::string& target)
     {
         const auto call = begin(method, target, [this] { loop.stop(); });
