Refuse a status line whose reason phrase has control characters

A client that takes a line feed for a line end reads another response than the one that was sent.

Ruled out: other invalid status lines, which were refused before.

Change: such a head is malformed; another owner is asked, or the client gets 502.

--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -201,9 +201,14 @@
     if (!status || *status < min_status || *status > max_status || !ends_there) {
         return tl::make_unexpected(head_error::malformed);
     }
+    // Some clients take a single line feed for the end of a line.
+    const auto reason = trimmed(rest);
+    if (!header_rules::is_valid_value(reason)) {
+        return tl::make_unexpected(head_error::malformed);
+    }
     http_response_head head;
     head.status = static_cast<int>(*status);
-    head.reason = std::string(trimmed(rest));
+    head.reason = std::string(reason);
     auto fields = read_fields(text);
     if (!fields) {
         return tl::make_unexpected(fields.error());
--- a/src/tests/invalid_status_test.cpp
+++ b/src/tests/invalid_status_test.cpp
@@ -24,6 +24,18 @@
     "HTTP/1.1 200OK",   "HTTP/1.1  200 OK", "HTTP/1.1 OK",     "HTTP/1.1 ",       "HTTP/2 200 OK",
 };
 
+/// Status lines with control characters in their reason phrases. Clients that take a line feed for
+/// the end of a line read another response than the one that was sent.
+const std::vector<std::string> lines_with_control_characters = {
+    "HTTP/1.1 200 OK\nContent-Length: 8\n\nspoilt!\n",
+    "HTTP/1.1 200 OK\n",
+    "HTTP/1.1 200 \nOK",
+    "HTTP/1.1 200 O\rK",
+    "HTTP/1.1 200 O\x01K",
+    "HTTP/1.1 200 O\x7fK",
+    std::string("HTTP/1.1 200 O\0K", sizeof "HTTP/1.1 200 O\0K" - 1),
+};
+
 /// Sends two requests to an upstream that responds to the first one with the given bytes.
 struct scripted_exchange {
     relay_test_fleet fleet;
@@ -58,6 +70,29 @@
     }
 }
 
+TEST_CASE("http_head: a reason phrase with control characters is malformed", "[net]")
+{
+    // Guards against bytes that some clients take for a response of their own.
+    for (const auto& line : lines_with_control_characters) {
+        INFO(line);
+        CHECK_FALSE(http_head::read_response(response_text(line), "GET").has_value());
+    }
+    for (const auto* const line : {"HTTP/1.1 200 a\tb", "HTTP/1.1 200 \xc3\xa9t\xc3\xa9"}) {
+        INFO(line);
+        CHECK(http_head::read_response(response_text(line), "GET").has_value());
+    }
+}
+
+TEST_CASE("relay_node: a reason phrase with control characters reaches no client", "[relay]")
+{
+    // Guards against a client that receives the line feeds of an upstream's status line.
+    const auto line = GENERATE(from_range(lines_with_control_characters));
+    INFO(line);
+    const scripted_exchange exchange(line + "\r\n" + stamp + body);
+    CHECK(exchange.first.status == 502);
+    CHECK(exchange.first.body.empty());
+}
+
 TEST_CASE("relay_node: a response with an invalid status is not delivered", "[relay]")
 {
     // Guards against a client that receives a status such as 000.
