Let a daemon hold accounts only after a handover

Cause: an added daemon took itself for the holder after one second of its own, while the earlier holder learned of it up to 2.1 s after the record and went on for 0.7 s.

Change: after its first second, a new daemon asks those that rank after it for the accounts. They cease and confirm; the question has the record of the new daemon. Without a response it begins 3 s after its start, when all have learned of it through the store.

--- a/src/accounts/quota_holder.cpp
+++ b/src/accounts/quota_holder.cpp
@@ -37,7 +37,7 @@
     result.session = question.session;
     result.sequence = question.sequence;
     const auto quota = m_hooks.quota(question.account);
-    const auto right = m_authority.of(question.account, now, m_hooks.find_out_absence);
+    const auto right = m_authority.of(question.account, now, m_hooks.ask);
     if (!quota || right.kind == quota_authority::none) {
         return result;
     }
--- a/src/accounts/quota_holder.h
+++ b/src/accounts/quota_holder.h
@@ -18,8 +18,7 @@
     struct hooks {
         /// @return the quota of an account by the plan in force; nothing when it is not known.
         std::function<std::optional<account_quota>(const std::string& account)> quota;
-        /// Called with a daemon of which it is not known whether it runs.
-        std::function<void(const std::string& address)> find_out_absence;
+        holder_authority::inquiries ask;
     };
 
     /// @param authority decides which accounts this daemon holds; must outlive the holder.
--- a/src/accounts/quota_message.cpp
+++ b/src/accounts/quota_message.cpp
@@ -1,5 +1,7 @@
 #include "accounts/quota_message.h"
 
+#include "fleet/owner_record_codec.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -116,4 +118,37 @@
     return answer;
 }
 
+std::string quota_message_codec::encode_handover_question(const owner_record& joined)
+{
+    return handover_question_type + owner_record_codec::encode(joined);
+}
+
+std::optional<owner_record> quota_message_codec::decode_handover_question(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.front() != handover_question_type) {
+        return {};
+    }
+    return owner_record_codec::decode(bytes.substr(1));
+}
+
+std::string quota_message_codec::encode(const handover_answer& answer)
+{
+    std::string bytes(1, handover_answer_type);
+    append(bytes, static_cast<std::uint8_t>(answer.state));
+    return bytes + answer.address;
+}
+
+std::optional<handover_answer> quota_message_codec::decode_handover_answer(std::string_view bytes)
+{
+    if (bytes.size() <= 2 || bytes.front() != handover_answer_type) {
+        return {};
+    }
+    bytes.remove_prefix(1);
+    const auto state = take<std::uint8_t>(bytes);
+    if (state > static_cast<std::uint8_t>(handover_state::never_held)) {
+        return {};
+    }
+    return handover_answer{static_cast<handover_state>(state), std::string(bytes)};
+}
+
 } // namespace galenaroad
--- a/src/accounts/quota_message.h
+++ b/src/accounts/quota_message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fleet/owner_record.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -35,6 +37,19 @@
     std::chrono::milliseconds retry_after{0}; ///< When there is a token for the next request.
 };
 
+/// Whether a daemon has ceased to hold the accounts for which a daemon that joins ranks before it.
+enum class handover_state : std::uint8_t {
+    not_yet,    ///< It may still hold them.
+    done,       ///< It no longer does.
+    never_held, ///< It has joined lately itself, so that another one may hold them.
+};
+
+/// Response to the question for a handover.
+struct handover_answer {
+    handover_state state = handover_state::not_yet;
+    std::string address; ///< Of the daemon that responds.
+};
+
 /// Encodes and decodes the messages between daemons on quotas, each for one datagram. Their first
 /// byte differs from that of other datagrams.
 class quota_message_codec {
@@ -42,6 +57,8 @@
     static constexpr char question_type = 'Q';
     static constexpr char answer_type = 'A';
     static constexpr char forward_type = 'F';
+    static constexpr char handover_question_type = 'H';
+    static constexpr char handover_answer_type = 'Y';
     static constexpr std::size_t max_account_bytes = 255;
 
     static std::string encode(const quota_question& question);
@@ -60,6 +77,18 @@
 
     /// @return the answer, or nothing when the bytes are not one.
     static std::optional<quota_answer> decode_answer(std::string_view bytes);
+
+    /// Encodes the question for a handover.
+    /// @param joined record of the daemon that asks, which the other one may not know.
+    static std::string encode_handover_question(const owner_record& joined);
+
+    /// @return the record of the daemon that asks, or nothing when the bytes are no such question.
+    static std::optional<owner_record> decode_handover_question(std::string_view bytes);
+
+    static std::string encode(const handover_answer& answer);
+
+    /// @return the answer, or nothing when the bytes are not one.
+    static std::optional<handover_answer> decode_handover_answer(std::string_view bytes);
 };
 
 } // namespace galenaroad
--- a/src/experiment/quota_fleet.cpp
+++ b/src/experiment/quota_fleet.cpp
@@ -106,7 +106,10 @@
         const auto found = quotas.find(account);
         return found == quotas.end() ? std::nullopt : std::optional(found->second);
     };
-    holder_hooks.find_out_absence = [this, daemon](const auto& address) { probe(daemon, address); };
+    holder_hooks.ask.absence = [this, daemon](const auto& address) { probe(daemon, address); };
+    holder_hooks.ask.handover = [this, daemon](const auto& address) {
+        ask_handover(daemon, address);
+    };
     state.holder = std::make_unique<quota_holder>(*state.authority, m_settings.tolerance,
                                                   std::move(holder_hooks));
     quota_client::hooks hooks;
@@ -261,6 +264,25 @@
     });
 }
 
+void quota_fleet::ask_handover(std::size_t from, const std::string& address)
+{
+    const auto to = index_of(address);
+    const auto& record = m_records[m_daemons[from]->address];
+    const auto question = quota_message_codec::encode_handover_question(record);
+    transfer(from, to, question.size(), [this, from, to, record](auto& asked) {
+        record_contact(asked, from);
+        if (!m_settings.shares_members) {
+            deliver_record(to, record);
+        }
+        const auto state = asked.authority->hand_over_to(record.address, m_loop.steady_now());
+        const auto size = quota_message_codec::encode(handover_answer{state, asked.address}).size();
+        transfer(to, from, size, [this, to, state](auto& asking) {
+            record_contact(asking, to);
+            asking.authority->record_handover(m_daemons[to]->address, state, m_loop.steady_now());
+        });
+    });
+}
+
 void quota_fleet::request(std::size_t daemon, const std::string& account, bool does_run,
                           const verdict_handler& on_verdict)
 {
--- a/src/experiment/quota_fleet.h
+++ b/src/experiment/quota_fleet.h
@@ -106,6 +106,7 @@
                           const std::string& text);
     void record_contact(daemon_state& receiver, std::size_t sender) const;
     void probe(std::size_t from, const std::string& address);
+    void ask_handover(std::size_t from, const std::string& address);
     void announce(std::size_t daemon, announced_state state);
     void send_record(std::size_t from, std::size_t to, const owner_record& record);
     void deliver_record(std::size_t daemon, const owner_record& record);
--- a/src/relay/quota_exchange.cpp
+++ b/src/relay/quota_exchange.cpp
@@ -7,15 +7,19 @@
 namespace {
 
 constexpr std::size_t max_forwarded = 1000;
+// Several times in holder_authority::absence_time, since datagrams are lost.
+constexpr auto handover_interval = 100ms;
 
 } // namespace
 
 quota_exchange::quota_exchange(relay_context& context, datagram_channel& datagrams,
                                quota_tolerance tolerance, std::function<bool()> knows_all_owners,
+                               std::function<void(const owner_record& record)> on_record,
                                random_engine random)
     : m_context(context),
       m_datagrams(datagrams),
       m_knows_all_owners(std::move(knows_all_owners)),
+      m_on_record(std::move(on_record)),
       m_authority(m_members, context.location.address),
       m_prober(context.loop,
                [this](const auto& address, auto asked_at) {
@@ -24,7 +28,8 @@
                }),
       m_holder(m_authority, tolerance,
                {[this](const auto& account) { return quota_of(account); },
-                [this](const auto& address) { m_prober.probe(address); }}),
+                {[this](const auto& address) { m_prober.probe(address); },
+                 [this](const auto& address) { ask_handover(address); }}}),
       m_client(m_members, tolerance, random,
                {[this](const auto& route, const auto& question) { send(route, question); },
                 [this](auto delay) { schedule(delay); }})
@@ -35,6 +40,11 @@
                            [this](auto bytes, const auto& sender) { on_forward(bytes, sender); });
     m_datagrams.on_message(quota_message_codec::answer_type,
                            [this](auto bytes, const auto&) { on_answer(bytes); });
+    m_datagrams.on_message(
+        quota_message_codec::handover_question_type,
+        [this](auto bytes, const auto& sender) { on_handover_question(bytes, sender); });
+    m_datagrams.on_message(quota_message_codec::handover_answer_type,
+                           [this](auto bytes, const auto&) { on_handover_answer(bytes); });
 }
 
 quota_exchange::~quota_exchange()
@@ -144,6 +154,49 @@
     m_client.on_answer(*answer, m_context.now());
 }
 
+// Repeated with the questions for tokens, until the daemon has handed over or has not responded for
+// holder_authority::join_time.
+void quota_exchange::ask_handover(const std::string& address)
+{
+    const auto now = m_context.now();
+    const auto* const own = m_context.directory.find(m_context.location.address);
+    auto& asked_at = m_handover_asked_at[address];
+    if (own == nullptr || now - asked_at < handover_interval) {
+        return;
+    }
+    asked_at = now;
+    const bool is_sent =
+        m_datagrams.send(address, quota_message_codec::encode_handover_question(*own));
+    m_context.metrics.record_quota_message(is_sent ? "handover_asked" : "not_sent");
+}
+
+void quota_exchange::on_handover_question(std::string_view bytes, const std::string& sender)
+{
+    const auto record = quota_message_codec::decode_handover_question(bytes);
+    if (!record) {
+        m_context.metrics.record_quota_message("unreadable");
+        return;
+    }
+    m_authority.record_contact(m_context.now());
+    m_on_record(*record);
+    const auto state = m_authority.hand_over_to(record->address, m_context.now());
+    const handover_answer answer{state, m_context.location.address};
+    if (m_datagrams.send(sender, quota_message_codec::encode(answer))) {
+        m_context.metrics.record_quota_message("handover_answered");
+    }
+}
+
+void quota_exchange::on_handover_answer(std::string_view bytes)
+{
+    const auto answer = quota_message_codec::decode_handover_answer(bytes);
+    if (!answer) {
+        m_context.metrics.record_quota_message("unreadable");
+        return;
+    }
+    m_authority.record_contact(m_context.now());
+    m_authority.record_handover(answer->address, answer->state, m_context.now());
+}
+
 std::optional<account_quota> quota_exchange::quota_of(const std::string& account) const
 {
     const auto plan = m_context.plans.in_force();
--- a/src/relay/quota_exchange.h
+++ b/src/relay/quota_exchange.h
@@ -25,9 +25,11 @@
     /// @param datagrams the channel of the messages; must outlive the exchange.
     /// @param tolerance the tolerance of the fleet.
     /// @param knows_all_owners whether the directory includes all daemons.
+    /// @param on_record called with the record of a daemon that has joined.
     /// @param random random engine.
     quota_exchange(relay_context& context, datagram_channel& datagrams, quota_tolerance tolerance,
-                   std::function<bool()> knows_all_owners, random_engine random);
+                   std::function<bool()> knows_all_owners,
+                   std::function<void(const owner_record& record)> on_record, random_engine random);
     quota_exchange(const quota_exchange&) = delete;
     quota_exchange& operator=(const quota_exchange&) = delete;
     quota_exchange(quota_exchange&&) = delete;
@@ -56,11 +58,15 @@
     void on_forward(std::string_view bytes, const std::string& sender);
     void on_answer(std::string_view bytes);
     void answer_own_questions();
+    void ask_handover(const std::string& address);
+    void on_handover_question(std::string_view bytes, const std::string& sender);
+    void on_handover_answer(std::string_view bytes);
     std::optional<account_quota> quota_of(const std::string& account) const;
 
     relay_context& m_context;
     datagram_channel& m_datagrams;
     std::function<bool()> m_knows_all_owners;
+    std::function<void(const owner_record& record)> m_on_record;
     holder_members m_members;
     holder_authority m_authority;
     absence_prober m_prober;
@@ -70,6 +76,7 @@
     event_loop::timer_id m_own_timer = event_loop::no_timer;
     /// Who has asked the questions that this daemon passed on; by session, and only the latest.
     std::map<std::uint32_t, std::string> m_forwarded;
+    std::map<std::string, steady_time> m_handover_asked_at; ///< By address.
     std::vector<quota_question> m_own_questions; ///< To this daemon itself; answered by its timer.
 };
 
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -64,8 +64,8 @@
     void record_health_report(const std::string& outcome);
 
     /// Records a message between daemons on quotas of accounts.
-    /// @param outcome `asked`, `answered`, `forwarded`, `not_sent` or `unreadable`; `absent` when a
-    /// connection has shown that a holder does not run.
+    /// @param outcome `asked`, `answered`, `forwarded`, `handover_asked`, `handover_answered`,
+    /// `not_sent` or `unreadable`; `absent` when a connection has shown that a holder does not run.
     void record_quota_message(const std::string& outcome);
 
     /// Records whether a request was within the quota of its account.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -128,7 +128,7 @@
       m_health_reports(m_context, m_datagrams, random_engine(random())),
       m_quotas(
           m_context, m_datagrams, m_settings.tolerance, [this] { return m_owners_listed; },
-          random_engine(random())),
+          [this](const owner_record& record) { on_joined_peer(record); }, random_engine(random())),
       m_entry_server(m_dependencies.loop, limits_for({}, m_settings),
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_dependencies.loop, peer_limits(m_settings),
@@ -307,6 +307,14 @@
     m_sync.on_state_change();
 }
 
+void relay_node::on_joined_peer(const owner_record& record)
+{
+    const bool is_own = record.address == m_settings.location.address;
+    if (!is_own && !has_departed(record)) {
+        merge_owners({record});
+    }
+}
+
 // Revisions and start times are wall-clock times. One in the future comes from a foreign writer,
 // and no later record of the owner would replace it.
 bool relay_node::is_from_future(std::uint64_t time_ms) const
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -98,6 +98,7 @@
     void watch_store();
     void on_plan_replaced(std::uint64_t replaced_version, const std::string& peer);
     void merge_owners(const std::vector<owner_record>& records);
+    void on_joined_peer(const owner_record& record);
     bool is_from_future(std::uint64_t time_ms) const;
     bool is_from_future(const owner_record& record) const;
     void list_local_owners_after(std::chrono::milliseconds delay);
--- a/src/tests/quota_fleet_test.cpp
+++ b/src/tests/quota_fleet_test.cpp
@@ -353,6 +353,27 @@
     CHECK(test.load.over_quota() < 0.15 * 50 * 20);
 }
 
+TEST_CASE("quota_fleet: daemons are added and the others learn of them late", "[quota]")
+{
+    // Guards against two holders of an account: an added daemon took itself for the holder one
+    // second after it had joined, while the earlier holder learned of it up to two seconds later.
+    const auto seed = GENERATE(range(1U, 9U));
+    const auto loss = GENERATE(0.0, 0.3);
+    auto settings = test_fleet::settings(8, seed, loss);
+    settings.max_record_delay = 2100ms;
+    test_fleet test({160, 160}, settings);
+    test.load.start(640, 20s);
+    test.loop.run_for(3s);
+    for (int added = 0; added < 6; ++added) {
+        test.fleet.add();
+        test.loop.run_for(500ms);
+    }
+    test.loop.run_for(15s);
+    INFO("seed " << seed << ", loss " << loss);
+    CHECK(test.excess() <= 0);
+    CHECK(test.load.granted() >= (loss > 0 ? 0.5 : 0.8) * 160 * 20);
+}
+
 TEST_CASE("quota_fleet: a new account and an added daemon", "[quota]")
 {
     // Guards against accounts that a new daemon does not know, and against a change of holders that
--- a/src/tests/quota_holder_test.cpp
+++ b/src/tests/quota_holder_test.cpp
@@ -18,10 +18,12 @@
     holder_authority authority{members, "a"};
     std::optional<account_quota> quota = account_quota{10, 5};
     std::vector<std::string> doubted;
+    std::vector<std::string> asked; ///< For their handovers.
     quota_holder holder{authority,
                         tolerance,
                         {[this](const auto&) { return quota; },
-                         [this](const auto& address) { doubted.push_back(address); }}};
+                         {[this](const auto& address) { doubted.push_back(address); },
+                          [this](const auto& address) { asked.push_back(address); }}}};
 
     tested_holder()
     {
@@ -107,6 +109,88 @@
     CHECK(test.ask(4, 1)->authority == quota_authority::deputy);
 }
 
+TEST_CASE("quota_holder: a daemon that joins waits for the handover of those that rank after it",
+          "[quota]")
+{
+    // Guards against a second holder beside one that does not know of the daemon that has joined.
+    tested_holder test;
+    for (int each = 0; each < 3; ++each) {
+        test.add("b" + std::to_string(each));
+    }
+    test.members = {};
+    test.members.update(test.directory, true, test.time.steady_now());
+    const auto order = test.members.ranked("acme");
+    const auto own = std::find(order.begin(), order.end(), "a");
+    const std::vector<std::string> before(order.begin(), own);
+    const std::vector<std::string> after(own + 1, order.end());
+    REQUIRE(after.size() >= 2);
+    const auto confirm = [&](const std::string& address, handover_state state) {
+        test.authority.record_handover(address, state, test.time.steady_now());
+    };
+    test.time.advance(holder_authority::start_time + 1ms);
+    const auto prove_absence = [&] {
+        test.authority.record_contact(test.time.steady_now());
+        for (const auto& each : before) {
+            test.authority.record_absence(each, test.time.steady_now());
+        }
+    };
+    prove_absence();
+    CHECK(test.ask(1, 1)->authority == quota_authority::deputy);
+    CHECK(test.asked == after);
+    confirm(after[0], handover_state::not_yet);
+    CHECK(test.ask(2, 1)->authority == quota_authority::deputy);
+    SECTION("one that has held the account is enough")
+    {
+        confirm(after[0], handover_state::done);
+        CHECK(test.ask(3, 1)->authority == quota_authority::full);
+    }
+    SECTION("one that has joined lately is not")
+    {
+        confirm(after[0], handover_state::never_held);
+        CHECK(test.ask(3, 1)->authority == quota_authority::deputy);
+        confirm(after[1], handover_state::done);
+        CHECK(test.ask(4, 1)->authority == quota_authority::full);
+    }
+    SECTION("one that does not run holds nothing")
+    {
+        test.authority.record_absence(after[0], test.time.steady_now());
+        confirm(after[1], handover_state::done);
+        CHECK(test.ask(3, 1)->authority == quota_authority::full);
+    }
+    SECTION("all daemons know of it after some time")
+    {
+        test.time.advance(holder_authority::join_time);
+        prove_absence();
+        CHECK(test.ask(3, 1)->authority == quota_authority::full);
+    }
+}
+
+TEST_CASE("quota_holder: a holder ceases when it confirms the handover", "[quota]")
+{
+    // Guards against a confirmation by a daemon that still holds the accounts, and against an
+    // account that is refused because its holder ceases before the next one begins.
+    tested_holder test;
+    const auto hand_over = [&](const std::string& address) {
+        return test.authority.hand_over_to(address, test.time.steady_now());
+    };
+    CHECK(hand_over("unknown") == handover_state::not_yet);
+    std::string first;
+    for (int each = 0; first.empty(); ++each) {
+        test.add("b" + std::to_string(each));
+        first =
+            test.members.ranked("acme").front() == "a" ? "" : test.members.ranked("acme").front();
+    }
+    CHECK(test.ask(1, 1)->authority == quota_authority::full);
+    CHECK(hand_over(first) == handover_state::done);
+    CHECK(test.ask(2, 1)->authority == quota_authority::deputy);
+    // A daemon that asks runs, whatever was known of it.
+    test.authority.record_contact(test.time.steady_now());
+    test.authority.record_absence(first, test.time.steady_now());
+    CHECK(test.ask(3, 1)->authority == quota_authority::full);
+    CHECK(hand_over(first) == handover_state::done);
+    CHECK(test.ask(4, 1)->authority == quota_authority::deputy);
+}
+
 TEST_CASE("quota_holder: the state of idle accounts is removed", "[quota]")
 {
     // Guards against memory that grows with all accounts that were ever asked for.
--- a/src/tests/quota_message_test.cpp
+++ b/src/tests/quota_message_test.cpp
@@ -31,6 +31,8 @@
         const auto text = *rc::gen::arbitrary<std::string>();
         quota_message_codec::decode_question("Q" + text);
         quota_message_codec::decode_forward("F" + text);
+        quota_message_codec::decode_handover_question("H" + text);
+        quota_message_codec::decode_handover_answer("Y" + text);
         RC_ASSERT(quota_message_codec::decode_answer("A" + text).has_value() <=
                   (text.size() == 15));
     }));
@@ -43,6 +45,21 @@
     CHECK(decoded->granted == 6);
     CHECK(decoded->tokens == 7);
     CHECK(decoded->retry_after == answer.retry_after);
+    owner_record record;
+    record.address = "10.0.0.1:1";
+    record.state = announced_state::ready;
+    const auto question = quota_message_codec::encode_handover_question(record);
+    const auto joined = quota_message_codec::decode_handover_question(question);
+    REQUIRE(joined.has_value());
+    CHECK(joined->address == record.address);
+    CHECK_FALSE(quota_message_codec::decode_handover_question(question.substr(1)).has_value());
+    const auto confirmed = quota_message_codec::decode_handover_answer(
+        quota_message_codec::encode(handover_answer{handover_state::done, "10.0.0.2:2"}));
+    REQUIRE(confirmed.has_value());
+    CHECK(confirmed->state == handover_state::done);
+    CHECK(confirmed->address == "10.0.0.2:2");
+    CHECK_FALSE(quota_message_codec::decode_handover_answer("Y\3x").has_value());
+    CHECK_FALSE(quota_message_codec::decode_handover_answer("Y\1").has_value());
     CHECK_FALSE(quota_message_codec::decode_question("Q" + std::string(12, 'x')).has_value());
     CHECK_FALSE(quota_message_codec::decode_question("Q" + std::string(300, 'x')).has_value());
 }
