Keep what the next failure of two unexplained tests needs

- fleet_history prints the exit code of each daemon that has ended. test_process takes it without waiting; the former running() was unused and took a process that nobody had waited for as running.
- galenaroad_soak renames the logs of an earlier run of a seed in place of removing them.
Only runs with a broken promise, or that did not end, leave any.

--- a/src/tests/fleet_history_test.cpp
+++ b/src/tests/fleet_history_test.cpp
@@ -40,7 +40,7 @@
               << " runs, " << history.versions.size() << " versions seen, "
               << history.accepts.size() << " accepted\n";
     const auto report = fleet_history_checker(history).report();
-    INFO("seed " << seed << '\n' << report);
+    INFO("seed " << seed << '\n' << report << fleet.ended_daemons());
     CHECK(report.empty());
     // Without work the rules hold trivially.
     CHECK(successes(history, call_kind::search) > 10);
--- a/src/tests/soak/soak.cpp
+++ b/src/tests/soak/soak.cpp
@@ -10,12 +10,26 @@
 
 using namespace galenaroad;
 
+/// Moves the logs of an earlier run of a seed out of the way. There are some only if a promise was
+/// broken in it, or if it did not end.
+void keep_earlier_logs(const std::string& folder)
+{
+    if (!std::filesystem::exists(folder)) {
+        return;
+    }
+    int number = 1;
+    while (std::filesystem::exists(folder + "." + std::to_string(number))) {
+        ++number;
+    }
+    std::filesystem::rename(folder, folder + "." + std::to_string(number));
+}
+
 /// Runs one seed and prints what it found.
 /// @return true when no promise was broken.
 bool run_seed(soak_settings settings, const std::string& logs)
 {
     settings.folder = logs + "/seed-" + std::to_string(settings.seed);
-    std::filesystem::remove_all(settings.folder);
+    keep_earlier_logs(settings.folder);
     std::filesystem::create_directories(settings.folder);
     soak_fleet fleet(settings);
     const auto& history = fleet.run();
--- a/src/tests/support/faulty_fleet.cpp
+++ b/src/tests/support/faulty_fleet.cpp
@@ -81,6 +81,17 @@
     return m_recorder.history();
 }
 
+std::string faulty_fleet::ended_daemons()
+{
+    std::string result;
+    for (const auto& name : daemons) {
+        if (const auto code = m_fleet.process(name).exit_code()) {
+            result += name + " has ended with " + std::to_string(*code) + '\n';
+        }
+    }
+    return result;
+}
+
 void faulty_fleet::start_processes()
 {
     m_fleet.start_stores();
--- a/src/tests/support/faulty_fleet.h
+++ b/src/tests/support/faulty_fleet.h
@@ -23,6 +23,9 @@
     /// @return what was seen.
     const fleet_history& run();
 
+    /// @return daemons that have ended, each with its exit code.
+    std::string ended_daemons();
+
 private:
     void start_processes();
     void wait_until_served() const;
--- a/src/tests/support/test_fleet.cpp
+++ b/src/tests/support/test_fleet.cpp
@@ -24,7 +24,7 @@
 
 test_process::~test_process()
 {
-    if (!m_waited) {
+    if (!exit_code()) {
         ::kill(m_handle.id(), SIGCONT);
         ::kill(m_handle.id(), SIGKILL);
         wait();
@@ -43,13 +43,19 @@
 
 int test_process::wait()
 {
-    m_waited = true;
-    return m_handle.wait();
+    if (!m_exit_code) {
+        m_exit_code = m_handle.wait();
+    }
+    return *m_exit_code;
 }
 
-bool test_process::running() const
+std::optional<int> test_process::exit_code()
 {
-    return Poco::Process::isRunning(m_handle);
+    const int code = m_exit_code ? *m_exit_code : m_handle.tryWait();
+    if (code >= 0) {
+        m_exit_code = code;
+    }
+    return m_exit_code;
 }
 
 long test_process::resident_kib() const
--- a/src/tests/support/test_fleet.h
+++ b/src/tests/support/test_fleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,8 @@
     void terminate() const;
     /// @return its exit code, once it has ended.
     int wait();
-    /// @return whether it still runs.
-    bool running() const;
+    /// @return its exit code if it has ended, without waiting for that.
+    std::optional<int> exit_code();
     /// @return its resident memory in KiB.
     long resident_kib() const;
     /// Sends a signal.
@@ -56,7 +57,7 @@
 
 private:
     Poco::ProcessHandle m_handle;
-    bool m_waited = false;
+    std::optional<int> m_exit_code;
 };
 
 /// Daemons and backend servers in separate processes on loopback.
