Share the set-up of tests of departures, holders and stops

The same six lines stood twice or more in relay_node_restart_test, quota_holder_test and relay_node_stop_test. Assertions, times and bounds are unchanged; the tests of the three files that use the set-up pass (arm64, one run).

--- a/src/tests/quota_holder_test.cpp
+++ b/src/tests/quota_holder_test.cpp
@@ -41,6 +41,16 @@
         members.update(directory, true, time.steady_now());
     }
 
+    /// Adds daemons until one of them ranks first.
+    /// @return its address.
+    std::string add_first()
+    {
+        for (int each = 0; members.ranked("acme").front() == "a"; ++each) {
+            add("b" + std::to_string(each));
+        }
+        return members.ranked("acme").front();
+    }
+
     std::optional<quota_answer> ask(std::uint32_t sequence, std::uint16_t wanted,
                                     std::uint16_t returned = 0, std::uint32_t session = 1)
     {
@@ -89,12 +99,7 @@
 {
     // Guards against a second holder beside one that is silent.
     tested_holder test;
-    std::string first;
-    for (int each = 0; first.empty(); ++each) {
-        test.add("b" + std::to_string(each));
-        first =
-            test.members.ranked("acme").front() == "a" ? "" : test.members.ranked("acme").front();
-    }
+    const auto first = test.add_first();
     CHECK(test.ask(1, 1)->authority == quota_authority::full);
     test.time.advance(10s);
     CHECK(test.ask(2, 1)->authority == quota_authority::deputy);
@@ -174,12 +179,7 @@
         return test.authority.hand_over_to(address, test.time.steady_now());
     };
     CHECK(hand_over("unknown") == handover_state::not_yet);
-    std::string first;
-    for (int each = 0; first.empty(); ++each) {
-        test.add("b" + std::to_string(each));
-        first =
-            test.members.ranked("acme").front() == "a" ? "" : test.members.ranked("acme").front();
-    }
+    const auto first = test.add_first();
     CHECK(test.ask(1, 1)->authority == quota_authority::full);
     CHECK(hand_over(first) == handover_state::done);
     CHECK(test.ask(2, 1)->authority == quota_authority::deputy);
--- a/src/tests/relay_node_restart_test.cpp
+++ b/src/tests/relay_node_restart_test.cpp
@@ -89,6 +89,31 @@
     int m_attempts = 0;
 };
 
+/// Two daemons that know each other. The second one's upstream leaves.
+struct announced_fleet : relay_test_fleet {
+    announced_fleet()
+    {
+        a->announce();
+        b->announce();
+        run_for(100ms);
+    }
+
+    /// Cuts the second daemon off from the store and from its peer.
+    void isolate_owner()
+    {
+        shared.is_unreachable = true;
+        a->link->cut(soak_link::direction::forward);
+    }
+
+    /// @return what the first daemon knows of the second one.
+    owner_record record_at_peer() const
+    {
+        const auto* const record = a->node.owners().find(b->peer_address);
+        REQUIRE(record != nullptr);
+        return *record;
+    }
+};
+
 } // namespace
 
 TEST_CASE("relay_node: a late heartbeat does not undo a departure that an earlier start announced",
@@ -248,15 +273,11 @@
 {
     // Guards against a departure that is acknowledged and then forgotten: the wall clock had been
     // stepped back, so that a record of an earlier start seemed to be later than the departure.
-    relay_test_fleet fleet;
-    fleet.a->announce();
-    fleet.b->announce();
-    fleet.run_for(100ms);
-    fleet.shared.is_unreachable = true;
-    fleet.a->link->cut(soak_link::direction::forward);
+    announced_fleet fleet;
+    fleet.isolate_owner();
     bool is_acknowledged = false;
     fleet.b->node.on_departure(fleet.b->id, [&] { is_acknowledged = true; });
-    auto earlier = *fleet.a->node.owners().find(fleet.b->peer_address);
+    auto earlier = fleet.record_at_peer();
     REQUIRE(earlier.state == announced_state::ready);
     earlier.revision += std::uint64_t{60'000};
     fleet.b->store.deliver_owners({earlier});
@@ -266,18 +287,15 @@
     fleet.a->link->heal();
     fleet.run_for(2s);
     CHECK(is_acknowledged);
-    CHECK(fleet.a->node.owners().find(fleet.b->peer_address)->state == announced_state::left);
+    CHECK(fleet.record_at_peer().state == announced_state::left);
 }
 
 TEST_CASE("relay_node: a peer with a later record does not confirm a departure", "[relay]")
 {
     // Guards against a departure that is acknowledged although the peer has kept another record,
     // which a restarted daemon would find in its place.
-    relay_test_fleet fleet;
-    fleet.a->announce();
-    fleet.b->announce();
-    fleet.run_for(100ms);
-    auto departure = *fleet.a->node.owners().find(fleet.b->peer_address);
+    announced_fleet fleet;
+    auto departure = fleet.record_at_peer();
     auto later = departure;
     departure.state = announced_state::left;
     departure.revision += 1;
@@ -309,18 +327,14 @@
 {
     // Guards against a departure that is never acknowledged while the store does not respond,
     // because the peers have a record of an earlier start with a higher revision.
-    relay_test_fleet fleet;
-    fleet.a->announce();
-    fleet.b->announce();
-    fleet.run_for(100ms);
+    announced_fleet fleet;
     fleet.shared.is_unreachable = true;
-    auto later = *fleet.a->node.owners().find(fleet.b->peer_address);
+    auto later = fleet.record_at_peer();
     later.revision += std::uint64_t{60'000};
     fleet.a->store.deliver_owners({later});
     auto state_at_acknowledgement = announced_state::none;
-    fleet.b->node.on_departure(fleet.b->id, [&] {
-        state_at_acknowledgement = fleet.a->node.owners().find(fleet.b->peer_address)->state;
-    });
+    fleet.b->node.on_departure(fleet.b->id,
+                               [&] { state_at_acknowledgement = fleet.record_at_peer().state; });
     fleet.run_for(2s);
     CHECK(state_at_acknowledgement == announced_state::left);
 }
@@ -329,12 +343,8 @@
 {
     // Guards against an acknowledgement that is forgotten with the process, also when the upstream
     // announces its departure again.
-    relay_test_fleet fleet;
-    fleet.a->announce();
-    fleet.b->announce();
-    fleet.run_for(100ms);
-    fleet.shared.is_unreachable = true;
-    fleet.a->link->cut(soak_link::direction::forward);
+    announced_fleet fleet;
+    fleet.isolate_owner();
     int acknowledged = 0;
     fleet.b->node.on_departure(fleet.b->id, [&] { ++acknowledged; });
     fleet.run_for(1s);
@@ -344,6 +354,5 @@
     fleet.a->link->heal();
     fleet.run_for(2s);
     CHECK(acknowledged == 2);
-    REQUIRE(fleet.a->node.owners().find(fleet.b->peer_address) != nullptr);
-    CHECK(fleet.a->node.owners().find(fleet.b->peer_address)->state == announced_state::left);
+    CHECK(fleet.record_at_peer().state == announced_state::left);
 }
--- a/src/tests/relay_node_stop_test.cpp
+++ b/src/tests/relay_node_stop_test.cpp
@@ -26,6 +26,16 @@
         near.announce(1, near.upstream.address, 100);
         near.upstream.handler = [](auto&) {};
     }
+
+    /// Starts a request at the near owner, which then stops.
+    std::shared_ptr<relay_test_call> begin_at_stopping_owner()
+    {
+        client_timeout = 8s;
+        auto call = begin("GET", "/download/x");
+        run_for(100ms);
+        near.node.stop([] {});
+        return call;
+    }
 };
 
 } // namespace
@@ -89,10 +99,7 @@
     // been found when it became slow, and it was not retried after its owner had interrupted it.
     silent_owner_fleet fleet;
     auto& near = fleet.near;
-    fleet.client_timeout = 8s;
-    const auto slow = fleet.begin("GET", "/download/x");
-    fleet.run_for(100ms);
-    near.node.stop([] {});
+    const auto slow = fleet.begin_at_stopping_owner();
     fleet.run_for(4400ms);
     REQUIRE(near.upstream.requests.size() == 1);
     REQUIRE_FALSE(slow->has_ended);
@@ -139,10 +146,7 @@
     // for a parallel attempt was asking owners, all of which refused it.
     silent_owner_fleet fleet;
     auto& near = fleet.near;
-    fleet.client_timeout = 8s;
-    const auto slow = fleet.begin("GET", "/download/x");
-    fleet.run_for(100ms);
-    near.node.stop([] {});
+    const auto slow = fleet.begin_at_stopping_owner();
     // This owner stops as well. Its refusal of the parallel attempt, which is made after four
     // seconds, arrives after the interruption.
     fleet.b->announce();
