Acknowledge a departure only when the store has it

All daemons were killed at the same moment, a heartbeat from before the DELETE arrived late and the store came back. The upstream got requests again, 34 to 36 of them with all machines in touch, and those at work at its exit were lost.

Cause: 600 ms after the announcement the memory of one peer was enough for an acknowledgement. Copies in memory end together; the store's row still said `ready`.

Change: the acknowledgement waits for the store. So that a daemon which alone cannot reach the store is not held up, a peer is asked every 500 ms, in the own data centre and in others by turns, to write the record under the condition that the owner's row is an earlier one (departure_writer). The upstream gets no new request from its announcement on, as before. A departure that a restarted daemon has from peers is written to the store if that lacks it, and a record that a peer sends confirms nothing any more.

--- a/src/fleet/fleet_store.h
+++ b/src/fleet/fleet_store.h
@@ -72,6 +72,13 @@
     /// @param record the record.
     virtual void publish(const owner_record& record) = 0;
 
+    /// Tries once to write the departure of another owner, which may not reach the store itself.
+    /// The write takes effect only if the stored record is an earlier one.
+    /// @param departure the record.
+    /// @param on_end called once: true when the store has the departure.
+    virtual void store_departure(const owner_record& departure,
+                                 std::function<void(bool is_stored)> on_end) = 0;
+
     /// Compares the stored record of this owner with the one published last, unless that was done
     /// in an era, and writes it again if the store has lost it; retried until that is known.
     /// @param era era that the store is in, as far as it is known.
--- a/src/relay/departure_replicator.cpp
+++ b/src/relay/departure_replicator.cpp
@@ -1,5 +1,6 @@
 #include "relay/departure_replicator.h"
 
+#include "fleet/departure_record.h"
 #include "fleet/owner_record_codec.h"
 
 #include <Poco/Net/HTTPRequest.h>
@@ -18,8 +19,10 @@
 
 // The store usually confirms a record within this time.
 constexpr auto send_delay = 150ms;
-// The record is sent again until a peer has it: peers may be unreachable together with the store.
+// The record is sent again until it is stored: peers may be unreachable together with the store.
 constexpr auto resend_interval = 500ms;
+// A peer that writes the record to the store makes two calls to it.
+constexpr auto store_timeout = 2s;
 // A restarted daemon gives its upstream no request before the peers have responded.
 constexpr auto call_timeout = 300ms;
 // Each record outlives the loss of all but one of these peers.
@@ -43,27 +46,40 @@
     client.respond(std::move(head), body);
 }
 
-// A record of an earlier start may have a higher revision, since the wall clock may have been
-// stepped back. It would be found in place of the departure.
-bool has_stored(const relay_context& context, const owner_record& departure)
+// A daemon that has another record of the owner responds with it: a restarted owner would find that
+// record in place of the departure.
+void handle_departure(const relay_context& context, const std::shared_ptr<server_exchange>& client,
+                      const departure_replicator::peer_hooks& callbacks)
 {
-    const auto* const known = context.directory.find(departure.address);
-    return known != nullptr && known->revision >= departure.revision &&
-           known->upstream_id == departure.upstream_id &&
-           known->start_time_ms >= departure.start_time_ms && known->state >= departure.state;
+    const auto departure = owner_record_codec::decode(client->body());
+    if (!departure || !has_departed(*departure)) {
+        respond(*client, HTTPResponse::HTTP_BAD_REQUEST, {});
+        return;
+    }
+    callbacks.record(*departure);
+    const auto* const known = context.directory.find(departure->address);
+    if (known == nullptr || !departure_record::is_known(*known, *departure)) {
+        respond(*client, HTTPResponse::HTTP_CONFLICT,
+                known == nullptr ? std::string() : owner_record_codec::encode(*known));
+        return;
+    }
+    if (client->head().target != departure_replicator::store_target) {
+        respond(*client, HTTPResponse::HTTP_OK, {});
+        return;
+    }
+    callbacks.store(*departure, [client](bool is_stored) {
+        respond(*client, is_stored ? HTTPResponse::HTTP_CREATED : HTTPResponse::HTTP_OK, {});
+    });
 }
 
-// A peer that has a later record responds with it.
-void respond_to_departure(const relay_context& context, server_exchange& client,
-                          const owner_record& departure)
+void append_ranked(std::vector<std::pair<std::uint64_t, std::string>>& ranked,
+                   std::vector<std::string>& result)
 {
-    if (has_stored(context, departure)) {
-        respond(client, HTTPResponse::HTTP_OK, {});
-        return;
+    std::sort(ranked.begin(), ranked.end());
+    result.reserve(ranked.size());
+    for (auto& each : ranked) {
+        result.push_back(std::move(each.second));
     }
-    const auto* const known = context.directory.find(departure.address);
-    respond(client, HTTPResponse::HTTP_CONFLICT,
-            known == nullptr ? std::string() : owner_record_codec::encode(*known));
 }
 
 } // namespace
@@ -93,6 +109,7 @@
 void departure_replicator::replicate(const owner_record& record)
 {
     m_pending = record;
+    m_is_held = false;
     if (m_send_timer == event_loop::no_timer) {
         m_send_timer = m_context.loop.after(send_delay, [this] { send_pending(); });
     }
@@ -111,36 +128,59 @@
     if (!m_pending) {
         return;
     }
-    const auto revision = m_pending->revision;
-    for (const auto& peer : holders(max_holders)) {
-        client_request request;
-        request.head.method = HTTPRequest::HTTP_PUT;
-        request.head.target = path;
-        request.head.fields = {{"Host", peer}};
-        request.body = owner_record_codec::encode(*m_pending);
-        send(peer, std::move(request),
-             [this, revision](const call& ended) { on_replicate_response(revision, ended); });
+    const auto writer = next_writer();
+    if (!writer.empty()) {
+        send_record(writer, store_target);
+    }
+    const auto peers = m_is_held ? std::vector<std::string>() : holders(max_holders);
+    for (const auto& peer : peers) {
+        if (peer != writer) {
+            send_record(peer, path);
+        }
     }
     m_send_timer = m_context.loop.after(resend_interval, [this] { send_pending(); });
 }
 
-void departure_replicator::on_replicate_response(std::uint64_t revision, const call& ended)
+void departure_replicator::send_record(const std::string& peer, const char* target)
 {
-    if (ended.status == HTTPResponse::HTTP_OK) {
-        m_context.metrics.record_departure_request("replicate", "ok");
-        if (m_pending && m_pending->revision <= revision) {
-            m_context.log.note_state("departure_replicated",
-                                     {{"revision", std::to_string(revision)}});
-        }
-        on_stored(revision);
-        m_hooks.replicated(revision);
-        return;
-    }
+    client_request request;
+    request.head.method = HTTPRequest::HTTP_PUT;
+    request.head.target = target;
+    request.head.fields = {{"Host", peer}};
+    request.body = owner_record_codec::encode(*m_pending);
+    const bool is_for_store = target == store_target;
+    const char* const purpose = is_for_store ? "store" : "replicate";
+    request.time_limit = is_for_store ? store_timeout : call_timeout;
+    send(peer, std::move(request),
+         [this, revision = m_pending->revision, purpose](const call& ended) {
+             on_record_response(revision, purpose, ended);
+         });
+}
+
+void departure_replicator::on_record_response(std::uint64_t revision, const char* purpose,
+                                              const call& ended)
+{
+    const bool is_stored = ended.status == HTTPResponse::HTTP_CREATED;
+    const bool is_held = ended.status == HTTPResponse::HTTP_OK;
     const bool is_outdated = ended.status == HTTPResponse::HTTP_CONFLICT;
-    m_context.metrics.record_departure_request("replicate", is_outdated ? "outdated" : "failed");
+    const bool is_pending = m_pending && m_pending->revision == revision;
+    const char* const failure = is_outdated ? "outdated" : "failed";
+    m_context.metrics.record_departure_request(purpose, is_stored ? "stored"
+                                                        : is_held ? "ok"
+                                                                  : failure);
     if (is_outdated) {
         take_own_record(ended);
     }
+    if (is_held && is_pending && !m_is_held) {
+        m_is_held = true;
+        m_context.log.note_state("departure_replicated", {{"revision", std::to_string(revision)}});
+    }
+    if (is_stored && is_pending) {
+        m_context.log.note_state("departure_stored_by_peer",
+                                 {{"revision", std::to_string(revision)}});
+        on_stored(revision);
+        m_hooks.stored(revision);
+    }
 }
 
 bool departure_replicator::take_own_record(const call& ended) const
@@ -163,6 +203,7 @@
         request.head.method = HTTPRequest::HTTP_GET;
         request.head.target = std::string(path) + "?" + m_context.location.address;
         request.head.fields = {{"Host", peer}};
+        request.time_limit = call_timeout;
         send(peer, std::move(request), [this](const call& ended) { on_query_response(ended); });
     }
     if (peers.empty()) {
@@ -181,9 +222,7 @@
     }
 }
 
-// Peers of the own data centre, since all daemons know these soon after their start. An instance
-// that is alone in its data centre takes any.
-std::vector<std::string> departure_replicator::holders(std::size_t count) const
+departure_replicator::ranked_peers departure_replicator::rank_peers() const
 {
     std::vector<std::pair<std::uint64_t, std::string>> local;
     std::vector<std::pair<std::uint64_t, std::string>> remote;
@@ -195,22 +234,39 @@
         const auto rank = rank_of(m_context.location.address, record.address);
         (is_local ? local : remote).emplace_back(rank, record.address);
     }
-    auto& ranked = local.empty() ? remote : local;
-    std::sort(ranked.begin(), ranked.end());
-    ranked.resize(std::min(ranked.size(), count));
-    std::vector<std::string> result;
-    result.reserve(ranked.size());
-    for (auto& each : ranked) {
-        result.push_back(std::move(each.second));
-    }
+    ranked_peers result;
+    append_ranked(local, result.local);
+    append_ranked(remote, result.remote);
     return result;
 }
 
+// Peers of the own data centre, since all daemons know these soon after their start. An instance
+// that is alone in its data centre takes any.
+std::vector<std::string> departure_replicator::holders(std::size_t count) const
+{
+    auto peers = rank_peers();
+    auto result = std::move(peers.local.empty() ? peers.remote : peers.local);
+    result.resize(std::min(result.size(), count));
+    return result;
+}
+
+// Daemons of the own data centre and of others in turn, since the store may be out of reach of a
+// whole data centre.
+std::string departure_replicator::next_writer()
+{
+    const auto peers = rank_peers();
+    const auto number = m_store_requests++;
+    const bool prefers_local = number % 2 == 0;
+    const auto& preferred = prefers_local ? peers.local : peers.remote;
+    const auto& candidates =
+        preferred.empty() ? (prefers_local ? peers.remote : peers.local) : preferred;
+    return candidates.empty() ? std::string() : candidates[number / 2 % candidates.size()];
+}
+
 void departure_replicator::send(const std::string& peer, client_request request,
                                 response_handler on_end)
 {
     request.connect_timeout = call_timeout;
-    request.time_limit = call_timeout;
     const auto made = std::make_shared<call>();
     const std::weak_ptr<call> weak = made;
     const auto end = [this, weak, on_end = std::move(on_end)](bool is_complete) {
@@ -243,24 +299,18 @@
 
 void departure_replicator::handle(const relay_context& context,
                                   const std::shared_ptr<server_exchange>& client,
-                                  const std::function<void(const owner_record&)>& on_record)
+                                  const peer_hooks& callbacks)
 {
     const auto& head = client->head();
     if (head.method == HTTPRequest::HTTP_PUT) {
-        const auto store = [&context, client, on_record] {
-            const auto record = owner_record_codec::decode(client->body());
-            if (!record || !has_departed(*record)) {
-                respond(*client, HTTPResponse::HTTP_BAD_REQUEST, {});
-                return;
-            }
-            on_record(*record);
-            respond_to_departure(context, *client, *record);
+        const auto use = [&context, client, callbacks] {
+            handle_departure(context, client, callbacks);
         };
         if (client->has_body()) {
-            store();
+            use();
             return;
         }
-        client->receive_body(store);
+        client->receive_body(use);
         return;
     }
     const auto separator = head.target.find('?');
--- a/src/relay/relay_metrics.h
+++ b/src/relay/relay_metrics.h
@@ -105,9 +105,9 @@
     void record_state_request(const std::string& purpose, const std::string& outcome);
 
     /// Records a request to a peer about a departure.
-    /// @param purpose `replicate` or `query`.
-    /// @param outcome `ok`, `outdated` when the peer has a later record, `unknown` when it has
-    /// none, or `failed`.
+    /// @param purpose `replicate`, `store` when the peer is to write the record, or `query`.
+    /// @param outcome `ok`, `stored` when the store has the record, `outdated` when the peer has a
+    /// later record, `unknown` when it has none, or `failed`.
     void record_departure_request(const std::string& purpose, const std::string& outcome);
 
     /// Records the number of errors in the plan in force.
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -133,10 +133,8 @@
                      [this](auto client) { accept_client(std::move(client)); }),
       m_peer_server(m_dependencies.loop, peer_limits(m_settings),
                     [this](auto client) { accept_peer(std::move(client)); }),
-      m_acknowledgements(m_dependencies.loop),
-      m_departures(m_context,
-                   {[this](std::uint64_t revision) { m_acknowledgements.on_replicated(revision); },
-                    [this](const owner_record& record) { merge_owners({record}); }})
+      m_departures(m_context, {[this](std::uint64_t revision) { on_stored(revision); },
+                               [this](const owner_record& record) { merge_owners({record}); }})
 {
     m_context.quotas = &m_quotas;
 }
@@ -195,10 +193,7 @@
 {
     fleet_store::hooks hooks;
     hooks.plan = [this](const plan_document& document) { m_plan_updater.apply_document(document); };
-    hooks.owners = [this](const auto& records) {
-        m_restart_check.on_records(records, m_dependencies.store.era());
-        merge_owners(records);
-    };
+    hooks.owners = [this](const auto& records) { on_records_stored(records); };
     hooks.owner_removed = [this](const std::string& address) {
         if (address != m_settings.location.address) {
             m_context.directory.remove(address);
@@ -219,8 +214,7 @@
     };
     hooks.published = [this](std::uint64_t revision) {
         finish_restore("write");
-        m_departures.on_stored(revision);
-        m_acknowledgements.on_stored(revision);
+        on_stored(revision);
     };
     hooks.own_record_found = [this](const auto& record) { on_own_record_found(record); };
     hooks.plan_watch_health_changed = [this] { m_sync.on_store_change(); };
@@ -334,10 +328,6 @@
     const auto before = m_context.owned.lifecycle().state();
     m_has_earlier_record = true;
     m_context.owned.restore(record);
-    if (has_same_content(record, current_record())) {
-        // The store or a peer has what this daemon announces.
-        m_acknowledgements.on_replicated(record.revision);
-    }
     if (record.revision > m_published.revision) {
         // Peers that have this record ignore what was published, which needs a new revision.
         m_published = {};
@@ -350,14 +340,47 @@
     }
 }
 
+// Handles records that the store has delivered, and with it what it has of this daemon.
+void relay_node::on_records_stored(const std::vector<owner_record>& records)
+{
+    m_restart_check.on_records(records, m_dependencies.store.era());
+    for (const auto& record : records) {
+        if (record.address == m_settings.location.address && !is_from_future(record)) {
+            m_stored = record;
+        }
+    }
+    merge_owners(records);
+    acknowledge_if_stored();
+}
+
+// The store has a record of this daemon, which this daemon or a peer has written.
+void relay_node::on_stored(std::uint64_t revision)
+{
+    if (revision == m_published.revision) {
+        m_stored = m_published;
+    }
+    m_departures.on_stored(revision);
+    m_acknowledgements.on_stored(revision);
+}
+
+// A record that was read may say the same as the one that is being written.
+void relay_node::acknowledge_if_stored()
+{
+    if (has_same_content(m_stored, current_record())) {
+        m_acknowledgements.on_stored(m_stored.revision);
+    }
+}
+
 // The store then writes the pending record, which must be one that does not contradict the record
 // found.
 void relay_node::on_own_record_found(const owner_record& record)
 {
     m_restart_check.on_records({record}, m_dependencies.store.era());
     if (!is_from_future(record)) {
+        m_stored = record;
         restore(record);
         m_context.directory.merge(record);
+        acknowledge_if_stored();
     }
     finish_restore("write");
     m_published.address.clear(); // The record that was not written is not announced any more.
@@ -393,15 +416,9 @@
         return;
     }
     m_is_asking_peers = true;
-    const bool had_departed = has_departed(current_record());
-    m_departures.query([this, source, had_departed] {
+    m_departures.query([this, source] {
         m_has_asked_peers = true;
         finish_restore(source);
-        if (!had_departed && has_departed(current_record())) {
-            // The store and the other peers do not have the departure yet.
-            m_published.address.clear();
-            announce(current_record());
-        }
     });
 }
 
@@ -444,7 +461,9 @@
     }
     auto record = current_record();
     const auto* const known = m_context.directory.find(record.address);
-    if (known == nullptr || !has_same_content(*known, record)) {
+    const bool is_known = known != nullptr && has_same_content(*known, record);
+    // A departure may be known from peers while the store lacks it, and is then written there.
+    if (!is_known || (has_departed(record) && !has_same_content(m_stored, record))) {
         announce(std::move(record));
     }
 }
@@ -504,18 +523,27 @@
     acknowledge_change(change, std::move(acknowledge));
 }
 
+// The acknowledgement of a departure waits until the store has it, also if the departure was
+// announced before.
 void relay_node::acknowledge_change(lifecycle_change change, std::function<void()> acknowledge)
 {
-    const bool is_confirmed = m_acknowledgements.is_confirmed(m_published.revision);
-    if (change == lifecycle_change::none && has_departed(current_record()) && !is_confirmed) {
-        // It was announced before and not acknowledged.
-        m_acknowledgements.add(m_published.revision, std::move(acknowledge));
+    if (change == lifecycle_change::stale) {
+        acknowledge();
         return;
     }
-    if (change == lifecycle_change::none || change == lifecycle_change::stale) {
+    if (change != lifecycle_change::none) {
+        log_change(change);
+        publish();
+    }
+    if (!has_departed(current_record())) {
         acknowledge();
         return;
     }
+    m_acknowledgements.add(m_published.revision, std::move(acknowledge));
+}
+
+void relay_node::log_change(lifecycle_change change)
+{
     const auto& latest = m_context.owned.lifecycle().latest();
     m_dependencies.log.note_state("upstream_changed",
                                   {{"upstream", latest.id},
@@ -523,15 +551,6 @@
                                    {"change", std::to_string(static_cast<int>(change))},
                                    {"sequence", std::to_string(latest.sequence)},
                                    {"born_ms", std::to_string(latest.start_time_ms)}});
-    const auto before = m_published.revision;
-    publish();
-    const bool is_leaving =
-        change == lifecycle_change::draining || change == lifecycle_change::left;
-    if (!is_leaving || m_published.revision == before) {
-        acknowledge();
-        return;
-    }
-    m_acknowledgements.add(m_published.revision, std::move(acknowledge));
 }
 
 void relay_node::accept_client(std::shared_ptr<server_exchange> client)
@@ -557,7 +576,11 @@
     }
     if (!text && head.target.rfind(departure_replicator::path, 0) == 0) {
         departure_replicator::handle(m_context, client,
-                                     [this](const auto& record) { merge_owners({record}); });
+                                     {[this](const auto& record) { merge_owners({record}); },
+                                      [this](const auto& record, auto on_end) {
+                                          m_dependencies.store.store_departure(record,
+                                                                               std::move(on_end));
+                                      }});
         return;
     }
     const auto query = http_head::find(head.fields, response_query::header);
--- a/src/relay/relay_node.h
+++ b/src/relay/relay_node.h
@@ -83,12 +83,13 @@
 
     /// Handles a heartbeat of the owned upstream.
     /// @param heartbeat the heartbeat.
-    /// @param acknowledge called when the daemon is bound by it.
+    /// @param acknowledge called when the daemon is bound by it, and the store has it if it
+    /// announces that the upstream leaves.
     void on_heartbeat(const upstream_heartbeat& heartbeat, std::function<void()> acknowledge);
 
     /// Handles the announcement that an upstream leaves immediately.
     /// @param id the upstream.
-    /// @param acknowledge called when the daemon is bound by it.
+    /// @param acknowledge called when the daemon is bound by it and the store has it.
     void on_departure(const std::string& id, std::function<void()> acknowledge);
 
     /// Changes the service of the owned upstream, when the settings have changed.
@@ -107,12 +108,16 @@
     owner_record current_record() const;
     void announce(owner_record record);
     void restore(const owner_record& record);
+    void on_records_stored(const std::vector<owner_record>& records);
+    void on_stored(std::uint64_t revision);
+    void acknowledge_if_stored();
     void on_own_record_found(const owner_record& record);
     void finish_restore(const char* source);
     void ask_peers(const char* source);
     bool must_ask_peers() const { return m_has_earlier_record && !m_has_asked_peers; }
     void trust_peers_later();
     void acknowledge_change(lifecycle_change change, std::function<void()> acknowledge);
+    void log_change(lifecycle_change change);
     void accept_client(std::shared_ptr<server_exchange> client);
     void accept_peer(std::shared_ptr<server_exchange> client);
     void handle_response_query(const std::shared_ptr<server_exchange>& client,
@@ -145,6 +150,7 @@
     acknowledgement_queue m_acknowledgements;
     departure_replicator m_departures;
     owner_record m_published;
+    owner_record m_stored; ///< Latest one of this daemon that the store is known to have.
     steady_time m_stopping_since;
     std::size_t m_unfinished = 0; ///< Requests in progress at the end of the stop time.
     std::function<void()> m_on_stopped;
