End requests about a departure that another record has replaced

Change: announcing a record that is no departure withdraws the pending one. Its acknowledgement still waits for the store, which has then the later start of the upstream.

--- a/src/relay/departure_replicator.h
+++ b/src/relay/departure_replicator.h
@@ -58,6 +58,9 @@
     /// @param record the record of a departure.
     void replicate(const owner_record& record);
 
+    /// Ends the sending of a record that another one of this daemon has replaced.
+    void withdraw() { m_pending.reset(); }
+
     /// Called when the store is known to have a record.
     /// @param revision its revision.
     void on_stored(std::uint64_t revision);
--- a/src/relay/relay_node.cpp
+++ b/src/relay/relay_node.cpp
@@ -485,6 +485,9 @@
         if (has_departed(m_published)) {
             m_departures.replicate(m_published);
         }
+        else {
+            m_departures.withdraw();
+        }
         m_dependencies.store.publish(m_published);
     }
     if (!is_tentative) {
--- a/src/tests/relay_node_restart_test.cpp
+++ b/src/tests/relay_node_restart_test.cpp
@@ -3,6 +3,8 @@
 #include "support/store_test_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <sstream>
+#include <string>
 
 using namespace galenaroad;
 using namespace std::chrono_literals;
@@ -135,6 +137,20 @@
         a->link->cut(soak_link::direction::forward);
     }
 
+    /// @return number of requests about departures that the second daemon has sent.
+    int departure_requests() const
+    {
+        const std::string name = "galenaroad_departure_requests_total{";
+        std::istringstream lines(b->metrics.text());
+        int sum = 0;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.rfind(name, 0) == 0) {
+                sum += std::stoi(line.substr(line.rfind(' ') + 1));
+            }
+        }
+        return sum;
+    }
+
     /// @return the state of the second daemon's upstream that the store has.
     announced_state stored_state() const { return shared.records.at(b->peer_address).state; }
 
@@ -469,3 +485,22 @@
     CHECK(acknowledged == 2);
     CHECK(fleet.stored_state() == announced_state::left);
 }
+
+TEST_CASE("relay_node: peers are not asked to store the departure of a replaced upstream",
+          "[relay]")
+{
+    // Guards against requests without end while the store does not respond, for a record that no
+    // peer accepts any more.
+    announced_fleet fleet;
+    fleet.shared.is_unreachable = true;
+    fleet.b->node.on_departure(fleet.b->id, [] {});
+    fleet.run_for(1s);
+    auto heartbeat = fleet.b->make_heartbeat(1);
+    heartbeat.start_time_ms += 1;
+    fleet.b->node.on_heartbeat(heartbeat, [] {});
+    fleet.run_for(100ms);
+    const auto requests = fleet.departure_requests();
+    CHECK(requests > 0);
+    fleet.run_for(1500ms);
+    CHECK(fleet.departure_requests() == requests);
+}
